--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -32,6 +32,9 @@
 constexpr std::chrono::milliseconds kBusyRetry{20};
 /// Longest wait for the last events of a generation that was stopped.
 constexpr std::chrono::milliseconds kLastEvents{60};
+/// Share of what a generation has made that is still to come at least: lengths spread by factors,
+/// so one that has outlived its forecast goes on for long.
+constexpr std::uint64_t kRestDivisor = 4;
 /// Time between events before the first sample of an upstream.
 constexpr double kUnknownGap = 0.04;
 /// Resumes of a copy that engines refuse before the stream is given up.
@@ -54,9 +57,9 @@
 
 std::chrono::milliseconds RestOf(const Request& request, const Upstream& upstream) {
   const std::uint64_t produced = OutputTokens(request);
-  const std::uint64_t rest = request.expected_output_tokens > produced
-                                 ? request.expected_output_tokens - produced
-                                 : request.tokens_per_event * 16;
+  const std::uint64_t forecast =
+      request.expected_output_tokens > produced ? request.expected_output_tokens - produced : 0;
+  const std::uint64_t rest = std::max(forecast, produced / kRestDivisor);
   const double gap = upstream.event_gap > 0 ? upstream.event_gap : kUnknownGap;
   const double events = static_cast<double>(rest) / static_cast<double>(request.tokens_per_event);
   return std::chrono::milliseconds(static_cast<std::int64_t>(events * gap * 1000));
@@ -143,8 +146,10 @@
     return;
   }
   if (request.move) {
-    if (request.move->step == MoveStep::kStopping && !request.move->handle.empty()) {
+    if (request.move->is_complete) {
       ResumeAt(work, request, request.move->target);
+    } else if (request.move->copy == 0) {
+      CallCopy(work, request, request.move->step == MoveStep::kStopping);
     }
     return;
   }
@@ -220,11 +225,17 @@
                   request.head.id, move.source, move.target, move.rounds,
                   move.step == MoveStep::kStopping, static_cast<int>(event.status), took.count(),
                   event.events, request.events));
+  move.copy = 0;
+  if (event.status == CopyStatus::kBusy) {
+    PlanMove(work, request, kBusyRetry);
+    return;
+  }
   if (move.step == MoveStep::kStopping) {
     switch (event.status) {
       case CopyStatus::kCopied:
       case CopyStatus::kNoAnswer:
         move.events = event.events;
+        move.is_complete = true;
         if (move.handle.empty()) {
           GiveUpMove(work, request, "no_handle");
         } else if (move.source_ended || request.events >= event.events) {
@@ -241,7 +252,7 @@
         }
         [[fallthrough]];
       case CopyStatus::kUnknownRun:
-      case CopyStatus::kBusy:
+      case CopyStatus::kBusy:  // Handled above.
         GiveUpMove(work, request, "final_copy_refused");
         if (state.requests.count(event.request) > 0) {
           PlanMove(work, request, kBusyRetry);
@@ -249,6 +260,11 @@
         return;
     }
   }
+  if (move.source_ended && !move.handle.empty()) {
+    // The engine has gone; the target reads again what the copy lacks.
+    ResumeAt(work, request, move.target);
+    return;
+  }
   if (event.status != CopyStatus::kCopied) {
     if (event.status == CopyStatus::kNoRoom) {
       request.excluded.insert(move.target);
@@ -259,11 +275,6 @@
     }
     return;
   }
-  if (move.source_ended) {
-    // The engine has gone since; the target reads again what the copy lacks.
-    ResumeAt(work, request, move.target);
-    return;
-  }
   const auto source = state.upstreams.find(move.source);
   const bool is_late =
       source == state.upstreams.end() || work.now - source->second.phase_since > kLatestStop;
@@ -281,8 +292,7 @@
   Move& move = *request.move;
   if (!attempt.is_resume || move.step != MoveStep::kResuming) {
     move.source_ended = true;
-    if (move.step == MoveStep::kStopping && !move.handle.empty() &&
-        IsScheduled(work.state.timers, {TimerKind::kEntryMove, request.key})) {
+    if (move.is_complete) {
       ResumeAt(work, request, move.target);  // The copy is complete; its last events have come.
     }
     return;
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -213,7 +213,7 @@
   if (upstream == work.state.upstreams.end()) {
     return;
   }
-  if (attempt->is_resume && request.move) {
+  if (request.move && request.move->step == MoveStep::kResuming) {
     FinishMove(work, request);
   }
   if (is_first && upstream->second.phase == UpstreamPhase::kLeaving) {
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -43,7 +43,10 @@
 /// The way of a running generation to another engine.
 struct Move {
   MoveStep step{MoveStep::kCopying};
+  /// Number of the open call; 0 when none is open.
   std::uint64_t copy{0};
+  /// The generation has stopped and all of its memory is at the target.
+  bool is_complete{false};
   UpstreamId source;
   Endpoint source_endpoint;
   UpstreamId target;
--- /dev/null
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -0,0 +1,176 @@
+#pragma once
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "snipeturn/entry/load.h"
+#include "snipeturn/entry/reducer.h"
+
+namespace snipeturn::entry {
+
+using namespace std::chrono_literals;
+
+/// Drives the entry reducer: one engine service and one plain service, events in, effects out.
+class EntryFixture {
+ public:
+  EntryFixture() {
+    state.options.host = "host-1";
+    state.options.zone = "zone-a";
+    state.options.bounds.retry_slack = 50;
+    desired.version = 1;
+    desired.services["engines"] = Engines();
+    desired.services["plain"].name = "plain";
+    desired.routes = {MakeRoute("/long/", RouteKind::kStream, "engines"),
+                      MakeRoute("/book/", RouteKind::kNonIdempotent, "plain"),
+                      MakeRoute("/look/", RouteKind::kIdempotent, "plain")};
+    desired.routes[2].max_upstreams = 2;
+    desired.has_organisations = true;
+    desired.organisation_by_key["key-1"] = {"org-1", std::nullopt};
+    Do(DesiredStateRead{desired});
+    Confirm();
+  }
+
+  static Service Engines() {
+    Service service;
+    service.name = "engines";
+    service.engine = EngineLimits{};
+    service.engine->slots = 24;
+    service.engine->memory_tokens = 30000;
+    service.engine->moves_generations = true;
+    service.engine->tokens_per_event = 4;
+    return service;
+  }
+
+  static Route MakeRoute(std::string prefix, RouteKind kind, std::string service) {
+    Route route;
+    route.name = prefix;
+    route.host = "svc.example";
+    route.path_prefix = std::move(prefix);
+    route.kind = kind;
+    route.services = {{std::move(service), 1}};
+    route.timeout = 30s;
+    route.latency_objective = 1800ms;
+    return route;
+  }
+
+  /// Applies an event and keeps its effects, in place of those before.
+  const Effects& Do(const Event& event) {
+    effects = Reduce(state, event, now);
+    return effects;
+  }
+
+  /// Lets time pass in steps and collects the effects of all timers.
+  const Effects& Wait(std::chrono::milliseconds time) {
+    Effects all;
+    const TimePoint until = now + time;
+    while (now < until) {
+      now = std::min(until, now + std::chrono::milliseconds(5));
+      for (Effect& effect : Reduce(state, Tick{}, now)) {
+        all.push_back(std::move(effect));
+      }
+    }
+    effects = std::move(all);
+    return effects;
+  }
+
+  void Confirm() { Do(StoreConfirmed{now}); }
+
+  UpstreamEntry List(const std::string& id,
+                     const std::string& service,
+                     const std::string& zone = "zone-a") {
+    UpstreamEntry entry;
+    entry.id = id;
+    entry.service = service;
+    entry.zone = zone;
+    entry.endpoint = {"10.0.0." + std::to_string(++listed), 80};
+    entry.slots = service == "engines" ? 24 : 6;
+    entry.born = 1000;
+    entry.sequence = ++sequence;
+    Do(UpstreamListed{entry});
+    return entry;
+  }
+
+  void Leave(UpstreamEntry entry) {
+    entry.leaving = true;
+    entry.sequence = ++sequence;
+    Do(UpstreamListed{entry});
+  }
+
+  RequestKey Arrive(const std::string& path, std::uint64_t prompt = 0, std::uint64_t hint = 0) {
+    RequestArrived arrived;
+    arrived.request = ++requests;
+    arrived.head.id = "request-" + std::to_string(requests);
+    arrived.head.host = "svc.example";
+    arrived.head.path = path;
+    arrived.head.key = key;
+    arrived.head.patience = patience;
+    arrived.head.prompt_tokens = prompt;
+    arrived.head.max_output_tokens = 4000;
+    if (hint > 0) {
+      arrived.head.expected_output_tokens = hint;
+    }
+    Do(arrived);
+    return arrived.request;
+  }
+
+  /// Effects of one kind among the last ones.
+  template <typename Kind>
+  std::vector<Kind> All() const {
+    std::vector<Kind> found;
+    for (const Effect& effect : effects) {
+      if (const auto* item = std::get_if<Kind>(&effect)) {
+        found.push_back(*item);
+      }
+    }
+    return found;
+  }
+
+  /// Starts a stream and lets it make events.
+  Send Stream(std::uint64_t events, std::uint64_t prompt = 3000, std::uint64_t hint = 2000) {
+    Arrive("/long/a", prompt, hint);
+    const std::vector<Send> sends = All<Send>();
+    const Send send = sends.at(0);
+    MakeEvents(send.attempt, events);
+    return send;
+  }
+
+  void MakeEvents(AttemptKey attempt, std::uint64_t events) {
+    Do(StreamProgressed{attempt, events, std::nullopt});
+  }
+
+  void End(AttemptKey attempt, AttemptResult result, int status = 0) {
+    AttemptEnded ended;
+    ended.attempt = attempt;
+    ended.result = result;
+    ended.status = status;
+    ended.relayable = result == AttemptResult::kAnswered;
+    Do(ended);
+  }
+
+  void EndCopy(const StartCopy& copy, CopyStatus status, std::uint64_t events = 0) {
+    CopyEnded ended;
+    ended.request = copy.request;
+    ended.copy = copy.copy;
+    ended.status = status;
+    ended.handle = status == CopyStatus::kCopied ? "handle-1" : "";
+    ended.events = events;
+    Do(ended);
+  }
+
+  State state;
+  DesiredState desired;
+  TimePoint now{std::chrono::seconds(1000)};
+  Effects effects;
+  std::optional<std::string> key{"key-1"};
+  std::optional<std::chrono::milliseconds> patience{30s};
+  RequestKey requests{0};
+  int listed{0};
+  std::int64_t sequence{0};
+};
+
+}  // namespace snipeturn::entry
--- /dev/null
+++ b/test/snipeturn/entry/migration_test.cc
@@ -0,0 +1,135 @@
+#include <catch2/catch.hpp>
+
+#include "snipeturn/entry/entry_fixture.h"
+
+namespace snipeturn::entry {
+namespace {
+
+class MigrationFixture : public EntryFixture {
+ public:
+  MigrationFixture() {
+    source = List("engine-1", "engines");
+    send = Stream(5);
+    target = List("engine-2", "engines");
+  }
+
+  /// The source is told to leave; returns the first copy.
+  StartCopy Notice() {
+    Leave(source);
+    return All<StartCopy>().at(0);
+  }
+
+  UpstreamEntry source;
+  UpstreamEntry target;
+  Send send;
+};
+
+// Guards against a generation that dies with its reclaimed engine.
+TEST_CASE_METHOD(MigrationFixture, "stream_sourceLeaves_copiedThenStoppedThenResumed", "[entry]") {
+  const StartCopy first = Notice();
+  CHECK_FALSE(first.final);
+  CHECK(first.target == target.endpoint);
+  now += 30ms;
+  EndCopy(first, CopyStatus::kCopied, 6);
+  const StartCopy last = All<StartCopy>().at(0);
+  REQUIRE(last.final);
+  now += 10ms;
+  MakeEvents(send.attempt, 8);
+  EndCopy(last, CopyStatus::kCopied, 8);
+  const Send resumed = All<Send>().at(0);
+  CHECK(resumed.upstream == "engine-2");
+  REQUIRE(resumed.resume);
+  CHECK(resumed.resume->handle == "handle-1");
+  CHECK(resumed.resume->events == 8);
+  CHECK(All<Abandon>().size() == 1);
+  MakeEvents(resumed.attempt, 9);
+  CHECK(All<RelayEvents>().size() == 1);
+  End(resumed.attempt, AttemptResult::kStreamFinished, 200);
+  CHECK(All<FinishStream>().size() == 1);
+}
+
+// Guards against events of the second engine that end a second move while its copy is made: the
+// copy was dropped and made again until the engine was gone.
+TEST_CASE_METHOD(MigrationFixture, "movedStream_movesAgain_copyIsKeptWhileEventsCome", "[entry]") {
+  const StartCopy first = Notice();
+  EndCopy(first, CopyStatus::kCopied, 5);
+  EndCopy(All<StartCopy>().at(0), CopyStatus::kCopied, 5);
+  const Send resumed = All<Send>().at(0);
+  MakeEvents(resumed.attempt, 6);
+  List("engine-3", "engines");
+  Leave(target);
+  REQUIRE(All<StartCopy>().size() == 1);
+  MakeEvents(resumed.attempt, 7);
+  CHECK(All<StartCopy>().empty());
+  CHECK(state.requests.begin()->second.move);
+  Wait(100ms);
+  CHECK(All<StartCopy>().empty());
+}
+
+// Guards against a generation that outlives its forecast and is never moved, since it is expected
+// to end at any moment.
+TEST_CASE_METHOD(MigrationFixture, "stream_longerThanForecast_isMoved", "[entry]") {
+  for (std::uint64_t event = 6; event <= 900; ++event) {
+    now += 25ms;
+    MakeEvents(send.attempt, event);
+  }
+  Confirm();
+  Leave(source);
+  CHECK(All<StartCopy>().size() == 1);
+}
+
+// Guards against a move that is given up, copy and all, because an earlier call has not ended.
+TEST_CASE_METHOD(MigrationFixture, "copy_engineBusy_isCalledAgainForSameTarget", "[entry]") {
+  const StartCopy first = Notice();
+  EndCopy(first, CopyStatus::kCopied, 6);
+  const StartCopy last = All<StartCopy>().at(0);
+  EndCopy(last, CopyStatus::kBusy);
+  CHECK(All<DropCopy>().empty());
+  Wait(50ms);
+  REQUIRE(All<StartCopy>().size() == 1);
+  CHECK(All<StartCopy>()[0].target == target.endpoint);
+  CHECK(All<StartCopy>()[0].final);
+}
+
+// Guards against a stream that is given up although its memory lies complete at the target.
+TEST_CASE_METHOD(MigrationFixture, "stream_sourceDiesAfterFirstCopy_resumesFromCopy", "[entry]") {
+  const StartCopy first = Notice();
+  now += 300ms;
+  EndCopy(first, CopyStatus::kCopied, 6);
+  const StartCopy second = All<StartCopy>().at(0);
+  CHECK_FALSE(second.final);
+  End(send.attempt, AttemptResult::kBroken);
+  CHECK(All<BreakStream>().empty());
+  EndCopy(second, CopyStatus::kNoAnswer);
+  const std::vector<Send> sends = All<Send>();
+  REQUIRE(sends.size() == 1);
+  CHECK(sends[0].resume);
+}
+
+// Guards against a stream that is lost because the target had no room after the stop: the source
+// keeps the memory.
+TEST_CASE_METHOD(MigrationFixture, "finalCopy_noRoomAtTarget_resumesAtSource", "[entry]") {
+  const StartCopy first = Notice();
+  EndCopy(first, CopyStatus::kCopied, 6);
+  const StartCopy last = All<StartCopy>().at(0);
+  EndCopy(last, CopyStatus::kNoRoom);
+  REQUIRE(All<Send>().size() == 1);
+  CHECK(All<Send>()[0].upstream == "engine-1");
+}
+
+// Guards against a copy that holds memory for nobody after its caller has left.
+TEST_CASE_METHOD(MigrationFixture, "move_callerLeaves_copyIsDropped", "[entry]") {
+  const StartCopy first = Notice();
+  Do(CallerGone{send.request});
+  CHECK(All<Abandon>().size() == 1);
+  CopyEnded ended;
+  ended.request = first.request;
+  ended.copy = first.copy;
+  ended.status = CopyStatus::kCopied;
+  ended.handle = "handle-1";
+  Do(ended);
+  CHECK(All<DropCopy>().size() == 1);
+}
+
+}  // namespace
+}  // namespace snipeturn::entry
