--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -10,6 +10,7 @@
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/log_event.h"
 #include "snipeturn/base/metric.h"
+#include "snipeturn/entry/event.h"
 #include "snipeturn/entry/fwd.h"
 
 namespace snipeturn::entry {
@@ -92,6 +93,19 @@
   std::string handle;
 };
 
+/// Ask an upstream for its report.
+struct ReadReport {
+  UpstreamId upstream;
+  Endpoint endpoint;
+};
+
+/// What this host learned first and the others should know at once.
+using PeerNotice = std::variant<UpstreamListed, UpstreamUnlisted, ReportRead>;
+
+struct TellPeers {
+  PeerNotice notice;
+};
+
 /// No connection to the upstream is needed any more.
 struct ForgetUpstream {
   UpstreamId id;
@@ -109,6 +123,8 @@
                             Refuse,
                             StartCopy,
                             DropCopy,
+                            ReadReport,
+                            TellPeers,
                             ForgetUpstream,
                             EmitLog,
                             Count,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -105,17 +105,36 @@
   bool evacuated{false};
 };
 
+/// Where a piece of knowledge about upstreams came from.
+enum class KnowledgeSource : std::uint8_t { kStore, kPeer };
+
 struct UpstreamListed {
   UpstreamEntry entry;
+  /// Offset of the record in the list's log; orders what the store and peers tell.
+  std::uint64_t offset{0};
+  KnowledgeSource source{KnowledgeSource::kStore};
 };
 
 struct UpstreamUnlisted {
   UpstreamId id;
+  std::uint64_t offset{0};
+  KnowledgeSource source{KnowledgeSource::kStore};
 };
 
 /// All newest records of the upstream list, after records were missed.
 struct UpstreamListRead {
-  std::vector<UpstreamEntry> entries;
+  std::vector<UpstreamListed> entries;
+  /// Offset after the last record that the read covers.
+  std::uint64_t end{0};
+};
+
+/// An upstream's own report.
+struct ReportRead {
+  UpstreamId id;
+  /// Start of the life that reports, 0 when it doesn't say.
+  std::int64_t born{0};
+  bool leaving{false};
+  KnowledgeSource source{KnowledgeSource::kStore};
 };
 
 /// A read of the configuration that missed nothing.
@@ -157,6 +176,7 @@
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
+                           ReportRead,
                            StoreConfirmed,
                            StoreFailed,
                            HostsRead,
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
+#include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -22,6 +23,11 @@
 /// A leaving upstream without work of this host is forgotten after so long.
 constexpr std::chrono::milliseconds kForgetAfter{5000};
 constexpr std::chrono::milliseconds kReviewInterval{250};
+/// Between two reports of an engine: a reclaimed one has about two seconds left.
+constexpr std::chrono::milliseconds kReportInterval{250};
+/// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
+/// doesn't bring it back.
+constexpr std::size_t kMostOffsets = 4096;
 
 void ScheduleReview(Work& work) {
   const TimerKey key{TimerKind::kEntryUpstream, 0};
@@ -43,6 +49,23 @@
   return std::tie(entry.born, entry.sequence) < std::tie(known.born, known.sequence);
 }
 
+/// Takes the offset of a record; false when a newer one of the upstream is known.
+bool TakeOffset(Work& work, const UpstreamId& id, std::uint64_t offset) {
+  auto& offsets = work.state.list_offsets;
+  if (offsets.size() > kMostOffsets) {
+    for (auto entry = offsets.begin(); entry != offsets.end();) {
+      entry =
+          work.state.upstreams.count(entry->first) > 0 ? std::next(entry) : offsets.erase(entry);
+    }
+  }
+  const auto found = offsets.find(id);
+  if (found != offsets.end() && found->second > offset) {
+    return false;
+  }
+  offsets[id] = offset;
+  return true;
+}
+
 void StartLeaving(Work& work, Upstream& upstream, std::string_view reason) {
   if (upstream.phase == UpstreamPhase::kLeaving) {
     return;
@@ -110,8 +133,12 @@
   DispatchQueue(work);
 }
 
-void ListUpstream(Work& work, const UpstreamEntry& entry) {
+void ListUpstream(Work& work, const UpstreamListed& event) {
+  const UpstreamEntry& entry = event.entry;
   State& state = work.state;
+  if (!TakeOffset(work, entry.id, event.offset)) {
+    return;
+  }
   auto found = state.upstreams.find(entry.id);
   if (found != state.upstreams.end() && IsOutdated(found->second.entry, entry)) {
     return;
@@ -135,13 +162,19 @@
   if (!(upstream.entry.endpoint == entry.endpoint)) {
     work.effects.push_back(ForgetUpstream{entry.id});
   }
+  const bool is_news = is_new_life || upstream.entry.leaving != entry.leaving ||
+                       upstream.phase == UpstreamPhase::kLapsed;
+  if (is_news && event.source == KnowledgeSource::kStore) {
+    work.effects.push_back(TellPeers{event});
+  }
   upstream.entry = entry;
   if (entry.cold_left.count() > 0) {
     upstream.cold_until = work.now + entry.cold_left;
   }
   if (entry.leaving) {
     StartLeaving(work, upstream, "told");
-  } else if (upstream.phase != UpstreamPhase::kServing) {
+  } else if (upstream.phase == UpstreamPhase::kLapsed || upstream.was_unlisted) {
+    upstream.was_unlisted = false;
     upstream.phase = UpstreamPhase::kServing;
     upstream.phase_since = work.now;
     Log(work, log_events::kUpstreamListed,
@@ -150,13 +183,20 @@
   DispatchQueue(work);
 }
 
-void UnlistUpstream(Work& work, const UpstreamId& id) {
-  const auto found = work.state.upstreams.find(id);
+void UnlistUpstream(Work& work, const UpstreamUnlisted& event) {
+  if (!TakeOffset(work, event.id, event.offset)) {
+    return;
+  }
+  const auto found = work.state.upstreams.find(event.id);
   if (found == work.state.upstreams.end() || found->second.phase == UpstreamPhase::kLeaving) {
     return;
   }
+  if (event.source == KnowledgeSource::kStore) {
+    work.effects.push_back(TellPeers{event});
+  }
   Upstream& upstream = found->second;
   if (!MayBeLapse(work)) {
+    upstream.was_unlisted = true;
     StartLeaving(work, upstream, "entry_removed");
     return;
   }
@@ -164,16 +204,16 @@
     upstream.phase = UpstreamPhase::kLapsed;
     upstream.phase_since = work.now;
     Log(work, log_events::kUpstreamLapsed,
-        fmt::format("upstream={} service={}", id, upstream.entry.service));
+        fmt::format("upstream={} service={}", event.id, upstream.entry.service));
     ScheduleReview(work);
   }
 }
 
 void AdoptUpstreamList(Work& work, const UpstreamListRead& event) {
   std::set<UpstreamId> listed;
-  for (const UpstreamEntry& entry : event.entries) {
-    listed.insert(entry.id);
-    ListUpstream(work, entry);
+  for (const UpstreamListed& item : event.entries) {
+    listed.insert(item.entry.id);
+    ListUpstream(work, item);
   }
   std::vector<UpstreamId> missing;
   for (const auto& [id, upstream] : work.state.upstreams) {
@@ -182,7 +222,40 @@
     }
   }
   for (const UpstreamId& id : missing) {
-    UnlistUpstream(work, id);
+    UnlistUpstream(work, {id, event.end, KnowledgeSource::kStore});
+  }
+}
+
+void TakeReport(Work& work, const ReportRead& event) {
+  const auto found = work.state.upstreams.find(event.id);
+  if (found == work.state.upstreams.end() || !event.leaving) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  const bool is_other_life =
+      event.born != 0 && upstream.entry.born != 0 && event.born != upstream.entry.born;
+  if (is_other_life || upstream.phase == UpstreamPhase::kLeaving) {
+    return;
+  }
+  if (event.source == KnowledgeSource::kStore) {
+    work.effects.push_back(TellPeers{event});
+  }
+  StartLeaving(work, upstream, "reported");
+}
+
+void ReadReports(Work& work) {
+  State& state = work.state;
+  Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now + kReportInterval);
+  if (!state.desired) {
+    return;
+  }
+  for (const auto& [id, upstream] : state.upstreams) {
+    const auto service = state.desired->services.find(upstream.entry.service);
+    const bool is_engine = service != state.desired->services.end() && service->second.engine;
+    if (is_engine && upstream.phase == UpstreamPhase::kServing &&
+        IsReader(state, id, kReportReaders, work.now)) {
+      work.effects.push_back(ReadReport{id, upstream.entry.endpoint});
+    }
   }
 }
 
--- a/src/snipeturn/entry/knowledge.h
+++ b/src/snipeturn/entry/knowledge.h
@@ -11,14 +11,20 @@
 void AdoptEvacuation(Work& work, const EvacuationRead& event);
 
 /// @brief Takes an entry of the upstream list.
-void ListUpstream(Work& work, const UpstreamEntry& entry);
+void ListUpstream(Work& work, const UpstreamListed& event);
 
 /// @brief Takes the removal of an entry: the upstream leaves, or its entry lapsed with the store.
-void UnlistUpstream(Work& work, const UpstreamId& id);
+void UnlistUpstream(Work& work, const UpstreamUnlisted& event);
 
 /// @brief Takes the whole list: what is missing was removed.
 void AdoptUpstreamList(Work& work, const UpstreamListRead& event);
 
+/// @brief Takes an upstream's report: one that leaves may say so there only.
+void TakeReport(Work& work, const ReportRead& event);
+
+/// @brief Asks the engines of which this host is the reader for their reports.
+void ReadReports(Work& work);
+
 /// @brief A lapsed upstream's time is over, or a gone one's work has ended.
 void ReviewUpstreams(Work& work);
 
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -43,6 +43,10 @@
     ReviewUpstreams(work);
     return;
   }
+  if (key.kind == TimerKind::kEntryReports) {
+    ReadReports(work);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckStop(work);
     return;
@@ -74,6 +78,9 @@
 
 void Apply(Work& work, const Event& event) {
   State& state = work.state;
+  if (!IsScheduled(state.timers, {TimerKind::kEntryReports, 0})) {
+    Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now);
+  }
   std::visit(
       [&work, &state](const auto& item) {
         using Item = std::decay_t<decltype(item)>;
@@ -92,11 +99,13 @@
         } else if constexpr (std::is_same_v<Item, EvacuationRead>) {
           AdoptEvacuation(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListed>) {
-          ListUpstream(work, item.entry);
+          ListUpstream(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamUnlisted>) {
-          UnlistUpstream(work, item.id);
+          UnlistUpstream(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListRead>) {
           AdoptUpstreamList(work, item);
+        } else if constexpr (std::is_same_v<Item, ReportRead>) {
+          TakeReport(work, item);
         } else if constexpr (std::is_same_v<Item, StoreConfirmed>) {
           ConfirmStore(work, item);
         } else if constexpr (std::is_same_v<Item, StoreFailed>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -45,6 +45,8 @@
   StoreView store;
   int hosts{1};
   UpstreamTable upstreams;
+  /// Offset of the newest record known of each upstream, of those that are gone too.
+  std::map<UpstreamId, std::uint64_t> list_offsets;
   std::map<std::string, PeerLoad> peers;
   std::map<RequestKey, Request> requests;
   std::map<AttemptKey, RequestKey> request_by_attempt;
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -59,6 +59,8 @@
   UpstreamEntry entry;
   UpstreamPhase phase{UpstreamPhase::kServing};
   TimePoint phase_since{};
+  /// It leaves because its entry was removed; an entry that comes back ends that.
+  bool was_unlisted{false};
   TimePoint cold_until{};
   std::optional<ToldLoad> told;
   /// Failures in a row, as seen by this host's requests.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -35,6 +35,7 @@
 /// Longest copy: the time that an engine has after its notice.
 constexpr std::chrono::milliseconds kCopyTimeout{2500};
 constexpr std::chrono::milliseconds kDropTimeout{1000};
+constexpr std::chrono::milliseconds kReportTimeout{400};
 /// Last bytes to callers before the process ends.
 constexpr std::chrono::milliseconds kLinger{150};
 /// Idle time up to which a connection carries a request that must not run twice: one that the other
@@ -95,7 +96,7 @@
     }
   }
   peers_ = std::make_unique<PeerSocket>(
-      context_, options_.peer, [this](entry::PeerLoadReceived&& load) { Apply(std::move(load)); });
+      context_, options_.peer, [this](entry::Event&& message) { Apply(std::move(message)); });
   if (peers_->failure()) {
     return "peers: " + *peers_->failure();
   }
@@ -306,6 +307,10 @@
           StartCopy(item);
         } else if constexpr (std::is_same_v<Item, entry::DropCopy>) {
           DropCopy(item);
+        } else if constexpr (std::is_same_v<Item, entry::ReadReport>) {
+          ReadReport(item);
+        } else if constexpr (std::is_same_v<Item, entry::TellPeers>) {
+          peers_->Broadcast(EncodeNotice(options_.entry.host, item.notice));
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           client_.ForgetPool(internal::PoolOf(item.id));
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
@@ -596,47 +601,69 @@
   if (request == state_.requests.end()) {
     return;
   }
+  Call(copy.source_id, copy.source, wire_.encode_copy(copy, request->second.head.id),
+       internal::kCopyTimeout,
+       [this, key = copy.request, number = copy.copy](ExchangeResult result, int status,
+                                                      const std::string& body) {
+         entry::CopyEnded ended;
+         if (result == ExchangeResult::kComplete) {
+           ended = wire_.decode_copy(status, body);
+         } else if (result == ExchangeResult::kUnsent) {
+           ended.status = entry::CopyStatus::kNoRoom;
+         }
+         ended.request = key;
+         ended.copy = number;
+         Apply(std::move(ended));
+       });
+}
+
+void EntryRuntime::ReadReport(const entry::ReadReport& call) {
+  Call(call.upstream, call.endpoint, wire_.encode_report_call(call), internal::kReportTimeout,
+       [this, id = call.upstream](ExchangeResult result, int status, const std::string& body) {
+         // An upstream that doesn't answer is judged by its requests.
+         if (result != ExchangeResult::kComplete) {
+           return;
+         }
+         if (auto report = wire_.decode_report(status, body)) {
+           report->id = id;
+           Apply(std::move(*report));
+         }
+       });
+}
+
+void EntryRuntime::Call(const entry::UpstreamId& upstream,
+                        const Endpoint& endpoint,
+                        std::string bytes,
+                        std::chrono::milliseconds timeout,
+                        std::function<void(ExchangeResult, int, const std::string&)> done) {
   struct Answer {
     int status{0};
     std::string body;
   };
   auto answer = std::make_shared<Answer>();
   HttpCall call;
-  call.pool = internal::PoolOf(copy.source_id);
-  call.endpoint = copy.source;
-  call.bytes = wire_.encode_copy(copy, request->second.head.id);
+  call.pool = internal::PoolOf(upstream);
+  call.endpoint = endpoint;
+  call.bytes = std::move(bytes);
   call.connect_timeout = internal::kConnectTimeout;
-  call.timeout = internal::kCopyTimeout;
+  call.timeout = timeout;
   ExchangeHandlers handlers;
   handlers.on_head = [answer](const HttpHead& head) {
     answer->status = head.status;
     return true;
   };
-  handlers.on_body = [answer](std::string&& bytes) { answer->body += bytes; };
-  handlers.on_end = [this, answer, key = copy.request, number = copy.copy](
-                        ExchangeResult result, const std::string& /*reason*/) {
-    entry::CopyEnded ended;
-    if (result == ExchangeResult::kComplete) {
-      ended = wire_.decode_copy(answer->status, answer->body);
-    } else if (result == ExchangeResult::kUnsent) {
-      ended.status = entry::CopyStatus::kNoRoom;
-    }
-    ended.request = key;
-    ended.copy = number;
-    Apply(std::move(ended));
+  handlers.on_body = [answer](std::string&& part) { answer->body += part; };
+  handlers.on_end = [answer, done = std::move(done)](ExchangeResult result,
+                                                     const std::string& /*reason*/) {
+    done(result, answer->status, answer->body);
   };
   static_cast<void>(client_.Start(std::move(call), std::move(handlers)));
 }
 
 void EntryRuntime::DropCopy(const entry::DropCopy& drop) {
-  HttpCall call;
-  call.pool = internal::PoolOf(drop.source_id);
-  call.endpoint = drop.source;
-  call.bytes = wire_.encode_drop_copy(drop);
-  call.connect_timeout = internal::kConnectTimeout;
-  call.timeout = internal::kDropTimeout;
   // A copy that isn't freed ends by itself after some seconds.
-  static_cast<void>(client_.Start(std::move(call), {}));
+  Call(drop.source_id, drop.source, wire_.encode_drop_copy(drop), internal::kDropTimeout,
+       [](ExchangeResult /*result*/, int /*status*/, const std::string& /*body*/) {});
 }
 
 void EntryRuntime::SetPeers(std::map<std::string, Endpoint> peers) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -118,6 +119,13 @@
   void BreakAnswer(entry::RequestKey key);
   void StartCopy(const entry::StartCopy& copy);
   void DropCopy(const entry::DropCopy& drop);
+  void ReadReport(const entry::ReadReport& call);
+  /// Makes a call at an upstream that is no caller's request.
+  void Call(const entry::UpstreamId& upstream,
+            const Endpoint& endpoint,
+            std::string bytes,
+            std::chrono::milliseconds timeout,
+            std::function<void(ExchangeResult, int, const std::string&)> done);
   void Stop();
 
   [[nodiscard]] std::shared_ptr<CallerConnection> FindConnection(ConnectionKey key) const;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <memory>
 #include <utility>
+#include <variant>
 
 namespace snipeturn::loop {
 namespace internal {
@@ -16,6 +17,41 @@
 /// Values of an upstream's row: id, requests, tokens, unread tokens.
 constexpr Json::ArrayIndex kRowLength = 4;
 
+std::string Write(const Json::Value& root) {
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, root);
+}
+
+std::optional<entry::Event> DecodeLoad(const Json::Value& root) {
+  entry::PeerLoadReceived received;
+  received.host = root["host"].asString();
+  for (const Json::Value& row : root["load"]) {
+    if (!row.isArray() || row.size() != kRowLength) {
+      return std::nullopt;
+    }
+    received.load[row[0].asString()] = {row[1].asInt(), row[2].asUInt64(), row[3].asUInt64()};
+  }
+  return received;
+}
+
+std::optional<entry::Event> DecodeListed(const Json::Value& value) {
+  entry::UpstreamListed listed;
+  listed.source = entry::KnowledgeSource::kPeer;
+  listed.offset = value["offset"].asUInt64();
+  entry::UpstreamEntry& entry = listed.entry;
+  entry.id = value["id"].asString();
+  entry.service = value["service"].asString();
+  entry.endpoint = {value["address"].asString(), value["port"].asInt()};
+  entry.zone = value["zone"].asString();
+  entry.slots = value["slots"].asInt();
+  entry.leaving = value["leaving"].asBool();
+  entry.cold_left = std::chrono::milliseconds(value["cold_ms"].asInt64());
+  entry.born = value["born"].asInt64();
+  entry.sequence = value["sequence"].asInt64();
+  return listed;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -31,34 +67,70 @@
     row.append(Json::UInt64{work.unread_tokens});
     root["load"].append(std::move(row));
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, root);
+  return internal::Write(root);
 }
 
-std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text) {
+std::string EncodeNotice(std::string_view host, const entry::PeerNotice& notice) {
+  Json::Value root;
+  root["host"] = std::string(host);
+  if (const auto* listed = std::get_if<entry::UpstreamListed>(&notice)) {
+    const entry::UpstreamEntry& entry = listed->entry;
+    Json::Value& value = root["listed"];
+    value["offset"] = Json::UInt64{listed->offset};
+    value["id"] = entry.id;
+    value["service"] = entry.service;
+    value["address"] = entry.endpoint.address;
+    value["port"] = entry.endpoint.port;
+    value["zone"] = entry.zone;
+    value["slots"] = entry.slots;
+    value["leaving"] = entry.leaving;
+    value["cold_ms"] = Json::Int64{entry.cold_left.count()};
+    value["born"] = Json::Int64{entry.born};
+    value["sequence"] = Json::Int64{entry.sequence};
+  } else if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&notice)) {
+    root["unlisted"]["offset"] = Json::UInt64{unlisted->offset};
+    root["unlisted"]["id"] = unlisted->id;
+  } else if (const auto* report = std::get_if<entry::ReportRead>(&notice)) {
+    root["leaving"]["id"] = report->id;
+    root["leaving"]["born"] = Json::Int64{report->born};
+  }
+  return internal::Write(root);
+}
+
+std::optional<entry::Event> DecodePeerMessage(std::string_view text) {
   Json::Value root;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr) || !root.isObject() ||
-      !root["host"].isString() || !root["load"].isArray()) {
+      !root["host"].isString()) {
     return std::nullopt;
   }
-  entry::PeerLoadReceived received;
-  received.host = root["host"].asString();
-  for (const Json::Value& row : root["load"]) {
-    if (!row.isArray() || row.size() != internal::kRowLength || !row[0].isString() ||
-        !row[1].isInt() || !row[2].isUInt64() || !row[3].isUInt64()) {
-      return std::nullopt;
+  // The accessors of Json::Value throw on a value of another type.
+  try {
+    if (root.isMember("load")) {
+      return internal::DecodeLoad(root);
     }
-    received.load[row[0].asString()] = {row[1].asInt(), row[2].asUInt64(), row[3].asUInt64()};
+    if (root.isMember("listed")) {
+      return internal::DecodeListed(root["listed"]);
+    }
+    if (root.isMember("unlisted")) {
+      return entry::UpstreamUnlisted{root["unlisted"]["id"].asString(),
+                                     root["unlisted"]["offset"].asUInt64(),
+                                     entry::KnowledgeSource::kPeer};
+    }
+    if (root.isMember("leaving")) {
+      return entry::ReportRead{root["leaving"]["id"].asString(), root["leaving"]["born"].asInt64(),
+                               true, entry::KnowledgeSource::kPeer};
+    }
+  } catch (const Json::Exception&) {
+    return std::nullopt;
   }
-  return received;
+  return std::nullopt;
 }
 
 PeerSocket::PeerSocket(boost::asio::io_context& context,
                        const Endpoint& own,
-                       std::function<void(entry::PeerLoadReceived&&)> on_load)
-    : socket_(context), on_load_(std::move(on_load)) {
+                       std::function<void(entry::Event&&)> on_message)
+    : socket_(context), on_message_(std::move(on_message)) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(own.address, error);
   if (!error) {
@@ -91,8 +163,8 @@
                          if (error) {
                            break;
                          }
-                         if (auto load = DecodeLoad({buffer_.data(), count})) {
-                           on_load_(std::move(*load));
+                         if (auto message = DecodePeerMessage({buffer_.data(), count})) {
+                           on_message_(std::move(*message));
                          }
                        }
                        AwaitReadable();
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "snipeturn/base/host.h"
+#include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
 
 namespace snipeturn::loop {
@@ -20,22 +21,25 @@
 /// @return The datagram.
 [[nodiscard]] std::string EncodeLoad(std::string_view host, const entry::LoadTable& load);
 
-/// @brief Reads a load table.
+/// @brief Writes news about an upstream for other hosts, as JSON.
+[[nodiscard]] std::string EncodeNotice(std::string_view host, const entry::PeerNotice& notice);
+
+/// @brief Reads a datagram of another host.
 /// @param text The datagram.
 /// @return The event, or nothing when the datagram can't be read.
-[[nodiscard]] std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text);
+[[nodiscard]] std::optional<entry::Event> DecodePeerMessage(std::string_view text);
 
-/// Sends this host's load table to the other hosts and receives theirs, over UDP: a lost table is
-/// followed by the next one.
+/// Sends messages to the other hosts and receives theirs, over UDP: a lost load table is followed
+/// by the next one, and what a lost notice tells is read from the store a moment later.
 class PeerSocket {
  public:
   /// @brief Opens the socket.
   /// @param context The event loop.
   /// @param own Address and port to bind.
-  /// @param on_load Takes a peer's table.
+  /// @param on_message Takes a peer's message.
   PeerSocket(boost::asio::io_context& context,
              const Endpoint& own,
-             std::function<void(entry::PeerLoadReceived&&)> on_load);
+             std::function<void(entry::Event&&)> on_message);
 
   /// @return Why the socket could not be opened, or nothing.
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
@@ -52,7 +56,7 @@
   static constexpr std::size_t kMaxDatagram = 16384;
 
   boost::asio::ip::udp::socket socket_;
-  std::function<void(entry::PeerLoadReceived&&)> on_load_;
+  std::function<void(entry::Event&&)> on_message_;
   std::map<std::string, Endpoint> peers_;
   std::optional<std::string> failure_;
   std::array<char, kMaxDatagram> buffer_{};
--- a/test/snipeturn/entry/entry_fixture.h
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -91,14 +91,14 @@
     entry.slots = service == "engines" ? 24 : 6;
     entry.born = 1000;
     entry.sequence = ++sequence;
-    Do(UpstreamListed{entry});
+    Do(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
     return entry;
   }
 
   void Leave(UpstreamEntry entry) {
     entry.leaving = true;
     entry.sequence = ++sequence;
-    Do(UpstreamListed{entry});
+    Do(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
   }
 
   RequestKey Arrive(const std::string& path, std::uint64_t prompt = 0, std::uint64_t hint = 0) {
