--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -31,7 +31,6 @@
   kEntryHedge,
   kEntryMove,
   kEntryUpstream,
-  kEntryReports,
   kEntryShutdown,
 };
 
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -93,14 +93,8 @@
   std::string handle;
 };
 
-/// Ask an upstream for its report.
-struct ReadReport {
-  UpstreamId upstream;
-  Endpoint endpoint;
-};
-
 /// What this host learned first and the others should know at once.
-using PeerNotice = std::variant<UpstreamListed, UpstreamUnlisted, ReportRead>;
+using PeerNotice = std::variant<UpstreamListed, UpstreamUnlisted>;
 
 struct TellPeers {
   PeerNotice notice;
@@ -123,7 +117,6 @@
                             Refuse,
                             StartCopy,
                             DropCopy,
-                            ReadReport,
                             TellPeers,
                             ForgetUpstream,
                             EmitLog,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -128,15 +128,6 @@
   std::uint64_t end{0};
 };
 
-/// An upstream's own report.
-struct ReportRead {
-  UpstreamId id;
-  /// Start of the life that reports, 0 when it doesn't say.
-  std::int64_t born{0};
-  bool leaving{false};
-  KnowledgeSource source{KnowledgeSource::kStore};
-};
-
 /// A read of the configuration that missed nothing.
 struct StoreConfirmed {
   /// When the read began; the configuration was the newest then or later.
@@ -176,7 +167,6 @@
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
-                           ReportRead,
                            StoreConfirmed,
                            StoreFailed,
                            HostsRead,
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -11,7 +11,6 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
-#include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -23,8 +22,6 @@
 /// A leaving upstream without work of this host is forgotten after so long.
 constexpr std::chrono::milliseconds kForgetAfter{5000};
 constexpr std::chrono::milliseconds kReviewInterval{250};
-/// Between two reports of an engine: a reclaimed one has about two seconds left.
-constexpr std::chrono::milliseconds kReportInterval{250};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
 /// doesn't bring it back.
 constexpr std::size_t kMostOffsets = 4096;
@@ -226,39 +223,6 @@
   }
 }
 
-void TakeReport(Work& work, const ReportRead& event) {
-  const auto found = work.state.upstreams.find(event.id);
-  if (found == work.state.upstreams.end() || !event.leaving) {
-    return;
-  }
-  Upstream& upstream = found->second;
-  const bool is_other_life =
-      event.born != 0 && upstream.entry.born != 0 && event.born != upstream.entry.born;
-  if (is_other_life || upstream.phase == UpstreamPhase::kLeaving) {
-    return;
-  }
-  if (event.source == KnowledgeSource::kStore) {
-    work.effects.push_back(TellPeers{event});
-  }
-  StartLeaving(work, upstream, "reported");
-}
-
-void ReadReports(Work& work) {
-  State& state = work.state;
-  Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now + kReportInterval);
-  if (!state.desired) {
-    return;
-  }
-  for (const auto& [id, upstream] : state.upstreams) {
-    const auto service = state.desired->services.find(upstream.entry.service);
-    const bool is_engine = service != state.desired->services.end() && service->second.engine;
-    if (is_engine && upstream.phase == UpstreamPhase::kServing &&
-        IsReader(state, id, kReportReaders, work.now)) {
-      work.effects.push_back(ReadReport{id, upstream.entry.endpoint});
-    }
-  }
-}
-
 void ReviewUpstreams(Work& work) {
   State& state = work.state;
   const std::set<UpstreamId> used = UpstreamsInUse(state);
--- a/src/snipeturn/entry/knowledge.h
+++ b/src/snipeturn/entry/knowledge.h
@@ -19,12 +19,6 @@
 /// @brief Takes the whole list: what is missing was removed.
 void AdoptUpstreamList(Work& work, const UpstreamListRead& event);
 
-/// @brief Takes an upstream's report: one that leaves may say so there only.
-void TakeReport(Work& work, const ReportRead& event);
-
-/// @brief Asks the engines of which this host is the reader for their reports.
-void ReadReports(Work& work);
-
 /// @brief A lapsed upstream's time is over, or a gone one's work has ended.
 void ReviewUpstreams(Work& work);
 
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -7,8 +7,6 @@
 
 namespace snipeturn::entry {
 
-/// Hosts that read an engine's reports; the others are told.
-inline constexpr int kReportReaders = 1;
 /// Hosts that read the upstream list often; two, so that one may fail unnoticed.
 inline constexpr int kListReaders = 2;
 
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -43,10 +43,6 @@
     ReviewUpstreams(work);
     return;
   }
-  if (key.kind == TimerKind::kEntryReports) {
-    ReadReports(work);
-    return;
-  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckStop(work);
     return;
@@ -78,9 +74,6 @@
 
 void Apply(Work& work, const Event& event) {
   State& state = work.state;
-  if (!IsScheduled(state.timers, {TimerKind::kEntryReports, 0})) {
-    Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now);
-  }
   std::visit(
       [&work, &state](const auto& item) {
         using Item = std::decay_t<decltype(item)>;
@@ -104,8 +97,6 @@
           UnlistUpstream(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListRead>) {
           AdoptUpstreamList(work, item);
-        } else if constexpr (std::is_same_v<Item, ReportRead>) {
-          TakeReport(work, item);
         } else if constexpr (std::is_same_v<Item, StoreConfirmed>) {
           ConfirmStore(work, item);
         } else if constexpr (std::is_same_v<Item, StoreFailed>) {
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -35,7 +35,6 @@
 /// Longest copy: the time that an engine has after its notice.
 constexpr std::chrono::milliseconds kCopyTimeout{2500};
 constexpr std::chrono::milliseconds kDropTimeout{1000};
-constexpr std::chrono::milliseconds kReportTimeout{400};
 /// Last bytes to callers before the process ends.
 constexpr std::chrono::milliseconds kLinger{150};
 /// Idle time up to which a connection carries a request that must not run twice: one that the other
@@ -307,8 +306,6 @@
           StartCopy(item);
         } else if constexpr (std::is_same_v<Item, entry::DropCopy>) {
           DropCopy(item);
-        } else if constexpr (std::is_same_v<Item, entry::ReadReport>) {
-          ReadReport(item);
         } else if constexpr (std::is_same_v<Item, entry::TellPeers>) {
           peers_->Broadcast(EncodeNotice(options_.entry.host, item.notice));
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
@@ -617,20 +614,6 @@
        });
 }
 
-void EntryRuntime::ReadReport(const entry::ReadReport& call) {
-  Call(call.upstream, call.endpoint, wire_.encode_report_call(call), internal::kReportTimeout,
-       [this, id = call.upstream](ExchangeResult result, int status, const std::string& body) {
-         // An upstream that doesn't answer is judged by its requests.
-         if (result != ExchangeResult::kComplete) {
-           return;
-         }
-         if (auto report = wire_.decode_report(status, body)) {
-           report->id = id;
-           Apply(std::move(*report));
-         }
-       });
-}
-
 void EntryRuntime::Call(const entry::UpstreamId& upstream,
                         const Endpoint& endpoint,
                         std::string bytes,
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -90,9 +90,6 @@
   } else if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&notice)) {
     root["unlisted"]["offset"] = Json::UInt64{unlisted->offset};
     root["unlisted"]["id"] = unlisted->id;
-  } else if (const auto* report = std::get_if<entry::ReportRead>(&notice)) {
-    root["leaving"]["id"] = report->id;
-    root["leaving"]["born"] = Json::Int64{report->born};
   }
   return internal::Write(root);
 }
@@ -117,10 +114,6 @@
                                      root["unlisted"]["offset"].asUInt64(),
                                      entry::KnowledgeSource::kPeer};
     }
-    if (root.isMember("leaving")) {
-      return entry::ReportRead{root["leaving"]["id"].asString(), root["leaving"]["born"].asInt64(),
-                               true, entry::KnowledgeSource::kPeer};
-    }
   } catch (const Json::Exception&) {
     return std::nullopt;
   }
