--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -25,7 +25,7 @@
 /// A server in another availability zone has to be freer by this share of its room.
 constexpr double kZonePenalty = 0.08;
 /// For a copy: a move between zones takes twice as long.
-constexpr double kMoveZonePenalty = 0.25;
+constexpr double kMoveZonePenalty = 0.5;
 /// Upstreams that failed of late come after all others.
 constexpr double kAvoidPenalty = 10.0;
 constexpr double kFailurePenalty = 2.0;
@@ -35,6 +35,10 @@
 constexpr double kJitter = 0.04;
 constexpr double kHashRange = 18446744073709551616.0;  // 2^64
 
+/// For a copy: hosts that hear of a notice at the same moment spread their copies, since a target's
+/// link takes one after another.
+constexpr double kMoveJitter = 0.3;
+
 /// Window of the cold limit.
 constexpr std::chrono::seconds kColdWindow{1};
 
@@ -124,7 +128,8 @@
     if (!scored.has_room || IsColdLimitReached(state, upstream, now)) {
       continue;
     }
-    double score = scored.score + kJitter * UnitHash(request.head.id, id);
+    const double jitter = source != nullptr ? kMoveJitter : kJitter;
+    double score = scored.score + jitter * UnitHash(request.head.id, id);
     if (upstream.entry.zone != home_zone) {
       score += source != nullptr ? kMoveZonePenalty : kZonePenalty;
     }
