--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -146,6 +146,9 @@
 
 struct PeerLoadReceived {
   std::string host;
+  std::string zone;
+  /// The host has been told to stop and takes no new callers.
+  bool is_stopping{false};
   LoadTable load;
 };
 
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -19,6 +19,50 @@
 /// A caller that met a host without a configuration finds one at another host at once.
 constexpr std::chrono::milliseconds kOtherHostRetry{100};
 
+/// Time that a request to a plain service takes at most, with a wide margin.
+constexpr std::chrono::milliseconds kPlainDuration{800};
+/// Time to the first event of a stream, and between two events, of a loaded engine.
+constexpr std::chrono::milliseconds kFirstEvent{1000};
+constexpr std::chrono::milliseconds kEventGap{50};
+/// Lengths are off by factors: a stream that is forecast to end just in time often does not.
+constexpr double kLengthMargin = 1.5;
+/// Time in which a host that has ended serves again.
+constexpr std::chrono::milliseconds kRestart{1200};
+/// A host that was silent for so long may be gone.
+constexpr std::chrono::milliseconds kPeerSilence{1500};
+/// Kept of the grace, as the process ends a little before it is killed.
+constexpr std::chrono::milliseconds kGraceMargin{500};
+
+/// Tells whether a request that arrives while the process stops would be cut off by its end.
+bool WouldOutliveProcess(const Work& work, const Request& request) {
+  const State& state = work.state;
+  if (!state.is_stopping) {
+    return false;
+  }
+  std::chrono::milliseconds duration = kPlainDuration;
+  if (request.kind == RouteKind::kStream) {
+    const auto events = request.expected_output_tokens / request.tokens_per_event + 1;
+    duration =
+        kFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
+                          static_cast<double>((kEventGap * events).count()) * kLengthMargin));
+  }
+  return work.now + duration > state.stopping_since + state.options.bounds.grace - kGraceMargin;
+}
+
+/// When a caller that this stopping host refuses finds one that serves: at once if another host of
+/// the zone goes on, else when this one is back.
+std::chrono::milliseconds RetryElsewhere(const Work& work) {
+  const State& state = work.state;
+  for (const auto& [host, peer] : state.peers) {
+    if (!peer.is_stopping && peer.zone == state.options.zone && work.now - peer.at < kPeerSilence) {
+      return std::chrono::milliseconds{0};
+    }
+  }
+  return std::max(std::chrono::milliseconds{0},
+                  ToMilliseconds(state.stopping_since + state.options.bounds.grace - work.now)) +
+         kRestart;
+}
+
 /// Refuses a request that never got an entry in the state.
 void RefuseArrival(Work& work,
                    const RequestArrived& event,
@@ -122,6 +166,10 @@
     request.tokens_per_event =
         static_cast<std::uint64_t>(std::max(1, service->second.engine->tokens_per_event));
   }
+  if (WouldOutliveProcess(work, request)) {
+    RefuseArrival(work, event, 503, "stopping", RetryElsewhere(work));
+    return;
+  }
   CountRequest(state.retry_budgets[request.service], state.options.bounds, work.now);
   Request& stored = state.requests.emplace(event.request, std::move(request)).first->second;
   Schedule(state.timers, {TimerKind::kEntryFinalAnswer, stored.key}, stored.due);
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -108,7 +108,7 @@
             state.hosts = item.hosts;
           }
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
-          state.peers[item.host] = {work.now, item.load};
+          state.peers[item.host] = {work.now, item.zone, item.is_stopping, item.load};
           DispatchQueue(work);
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
           state.options.bounds = item.bounds;
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -28,6 +28,8 @@
 /// Load that another host told.
 struct PeerLoad {
   TimePoint at{};
+  std::string zone;
+  bool is_stopping{false};
   LoadTable load;
 };
 
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -659,7 +659,8 @@
   if (peers_->peer_count() == 0 || since < internal::kHousekeeping * rounds * 9 / 10) {
     return;
   }
-  std::string load = EncodeLoad(options_.entry.host, entry::OwnLoad(state_));
+  std::string load = EncodeLoad(
+      {options_.entry.host, options_.entry.zone, state_.is_stopping, entry::OwnLoad(state_)});
   if (load == told_load_ && since < internal::kLoadRepeat) {
     return;
   }
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -26,6 +26,8 @@
 std::optional<entry::Event> DecodeLoad(const Json::Value& root) {
   entry::PeerLoadReceived received;
   received.host = root["host"].asString();
+  received.zone = root["zone"].asString();
+  received.is_stopping = root["stopping"].asBool();
   for (const Json::Value& row : root["load"]) {
     if (!row.isArray() || row.size() != kRowLength) {
       return std::nullopt;
@@ -55,11 +57,13 @@
 }  // namespace
 }  // namespace internal
 
-std::string EncodeLoad(std::string_view host, const entry::LoadTable& load) {
+std::string EncodeLoad(const entry::PeerLoadReceived& load) {
   Json::Value root;
-  root["host"] = std::string(host);
+  root["host"] = load.host;
+  root["zone"] = load.zone;
+  root["stopping"] = load.is_stopping;
   root["load"] = Json::Value(Json::arrayValue);
-  for (const auto& [upstream, work] : load) {
+  for (const auto& [upstream, work] : load.load) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
     row.append(work.requests);
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -16,10 +16,9 @@
 namespace snipeturn::loop {
 
 /// @brief Writes a load table for other hosts, as JSON.
-/// @param host This host.
-/// @param load Its work by upstream.
+/// @param load This host's work by upstream, and what others must know of it.
 /// @return The datagram.
-[[nodiscard]] std::string EncodeLoad(std::string_view host, const entry::LoadTable& load);
+[[nodiscard]] std::string EncodeLoad(const entry::PeerLoadReceived& load);
 
 /// @brief Writes news about an upstream for other hosts, as JSON.
 [[nodiscard]] std::string EncodeNotice(std::string_view host, const entry::PeerNotice& notice);
