Take late streams of a stopping host only when their bound fits; tests of decisions

A request that every upstream had refused waited in the queue for nothing. Change: after 2.5 s of the grace the caller's bound of tokens decides; a request that no upstream is left for is refused at once.

--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -26,6 +26,9 @@
 constexpr std::chrono::milliseconds kEventGap{50};
 /// Lengths are off by factors: a stream that is forecast to end just in time often does not.
 constexpr double kLengthMargin = 1.5;
+/// Until the balancer leaves a stopping host out, callers can't know better; after that only what
+/// is sure to end in time is begun.
+constexpr std::chrono::milliseconds kEarlyArrival{2500};
 /// Time in which a host that has ended serves again.
 constexpr std::chrono::milliseconds kRestart{1200};
 /// A host that was silent for so long may be gone.
@@ -41,10 +44,13 @@
   }
   std::chrono::milliseconds duration = kPlainDuration;
   if (request.kind == RouteKind::kStream) {
-    const auto events = request.expected_output_tokens / request.tokens_per_event + 1;
-    duration =
-        kFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
-                          static_cast<double>((kEventGap * events).count()) * kLengthMargin));
+    const bool is_early = work.now - state.stopping_since < kEarlyArrival;
+    const double tokens = is_early || request.head.max_output_tokens == 0
+                              ? static_cast<double>(request.expected_output_tokens) * kLengthMargin
+                              : static_cast<double>(request.head.max_output_tokens);
+    const double events = tokens / static_cast<double>(request.tokens_per_event) + 1;
+    duration = kFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
+                                 static_cast<double>(kEventGap.count()) * events));
   }
   return work.now + duration > state.stopping_since + state.options.bounds.grace - kGraceMargin;
 }
@@ -72,8 +78,13 @@
   work.effects.push_back(Refuse{event.request, status, reason, retry_after});
   CountOne(work, kRefusals, reason);
   Log(work, log_events::kRefused,
-      fmt::format("id={} status={} reason={} path={} version={}", event.head.id, status, reason,
-                  event.head.path, work.state.desired ? work.state.desired->version : -1));
+      fmt::format("id={} status={} reason={} path={} version={} retry_after_ms={} confirmed_ms={}",
+                  event.head.id, status, reason, event.head.path,
+                  work.state.desired ? work.state.desired->version : -1,
+                  retry_after ? retry_after->count() : -1,
+                  work.state.store.confirmed
+                      ? ToMilliseconds(work.now - *work.state.store.confirmed).count()
+                      : -1));
 }
 
 /// Tells whether a key that was taken away may still be known here.
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -104,8 +104,9 @@
     return false;
   }
   // An answer that could be passed on is not given up for a place in the queue.
-  if (!DidNotRun(result) &&
-      Place(work.state, request, work.now).result != PlacementResult::kPlaced) {
+  const PlacementResult place = Place(work.state, request, work.now).result;
+  if (place == PlacementResult::kNoUpstream ||
+      (place == PlacementResult::kNoRoom && !DidNotRun(result))) {
     return false;
   }
   // A connection that failed was no arrival at the service, so it draws on no budget.
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -25,6 +25,15 @@
   CHECK(All<Refuse>()[0].retry_after < 9000ms);
 }
 
+// Guards against a stream that is forecast to be short, taken late and cut off by the end.
+TEST_CASE_METHOD(ShutdownFixture, "stream_lateInGrace_takenOnlyIfItsBoundFits", "[entry]") {
+  Do(ShutdownRequested{});
+  Wait(3000ms);
+  Confirm();
+  Arrive("/long/a", 2000, 40);
+  CHECK(All<Send>().empty());
+}
+
 // Guards against a long answer that is begun on a host which ends before it.
 TEST_CASE_METHOD(ShutdownFixture, "stream_hostStopping_refusedAsNotRun", "[entry]") {
   Do(PeerLoadReceived{"host-2", "zone-a", false, {}});
