Contract tests of the adapter and tests of the event loop

Covers configuration, upstream entries, store answers, requests, answers, copies and settings with tables of bad input; the HTTP client and the callers' connections under cuts, resets, silence, extra and late answers, slow readers. Found and mended: a load table of a peer with a number for an upstream's id was accepted.

--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -29,7 +29,7 @@
   received.zone = root["zone"].asString();
   received.is_stopping = root["stopping"].asBool();
   for (const Json::Value& row : root["load"]) {
-    if (!row.isArray() || row.size() != kRowLength) {
+    if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
       return std::nullopt;
     }
     received.load[row[0].asString()] = {row[1].asInt(), row[2].asUInt64(), row[3].asUInt64()};
@@ -51,6 +51,9 @@
   entry.cold_left = std::chrono::milliseconds(value["cold_ms"].asInt64());
   entry.born = value["born"].asInt64();
   entry.sequence = value["sequence"].asInt64();
+  if (entry.id.empty() || entry.service.empty()) {
+    return std::nullopt;
+  }
   return listed;
 }
 
--- /dev/null
+++ b/test/platform/entry_wire_test.cc
@@ -0,0 +1,173 @@
+#include "platform/entry_wire.h"
+
+#include <catch2/catch.hpp>
+
+#include "platform/settings.h"
+
+namespace snipeturn::platform {
+namespace {
+
+using loop::HttpHead;
+
+class WireFixture {
+ public:
+  WireFixture() {
+    head.method = "POST";
+    head.target = "/x/2f?page=3";
+    head.has_body_length = true;
+    head.fields = {{"Host", "a.example:80"},
+                   {"Request-Id", "9c41"},
+                   {"Model", "m"},
+                   {"Token-Counts", "1460,80"},
+                   {"Prompt-Prefix", "5c1e07a2:800,91bd3f06:410"},
+                   {"Length-Hint", "55"},
+                   {"Deadline-Ms", "39000"},
+                   {"Api-Key", "secret"}};
+    send.upstream = "i-7f";
+    send.organisation = "huka";
+    send.time_left = std::chrono::milliseconds(38000);
+  }
+
+  std::string Encode() const { return wire.encode_request(head, "body", send); }
+
+  const loop::Wire& wire = EntryWire();
+  HttpHead head;
+  entry::Send send;
+};
+
+bool Has(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+TEST_CASE_METHOD(WireFixture, "request_valid_decoded", "[platform]") {
+  const loop::DecodedRequest decoded = wire.decode_request(head);
+  REQUIRE(decoded.head);
+  CHECK(decoded.head->host == "a.example");
+  CHECK(decoded.head->prompt_tokens == 1460);
+  CHECK(decoded.head->max_output_tokens == 80);
+  CHECK(decoded.head->expected_output_tokens == 55);
+  CHECK(decoded.head->patience == std::chrono::milliseconds(39000));
+  CHECK(decoded.head->shared_prefix == "5c1e07a2");
+  CHECK(decoded.head->key == "secret");
+}
+
+// Guards against requests that two parsers may read differently.
+TEST_CASE_METHOD(WireFixture, "request_ambiguous_refused", "[platform]") {
+  SECTION("no id") {
+    head.fields.erase(head.fields.begin() + 1);
+  }
+  SECTION("two ids") {
+    head.fields.push_back({"request-id", "other"});
+  }
+  SECTION("no host") {
+    head.fields.erase(head.fields.begin());
+  }
+  SECTION("two hosts") {
+    head.fields.push_back({"Host", "b.example"});
+  }
+  SECTION("other coding") {
+    head.fields.push_back({"Transfer-Encoding", "gzip, chunked"});
+  }
+  SECTION("target of another form") {
+    head.target = "http://a.example/x/";
+  }
+  CHECK_FALSE(wire.decode_request(head).head);
+  CHECK_FALSE(wire.decode_request(head).reason.empty());
+}
+
+// Guards against a caller that sets what only this system may set.
+TEST_CASE_METHOD(WireFixture, "request_ownFieldsOfCaller_replaced", "[platform]") {
+  for (const char* name :
+       {"Tenant", "Hold", "Pin-Ms", "Kv-From", "Kv-Backup", "kv-fetch", "Expect-Instance",
+        "Expect-Version", "Request-Priority", "Last-Event-Id"}) {
+    head.fields.push_back({name, "forged"});
+  }
+  const std::string bytes = Encode();
+  CHECK_FALSE(Has(bytes, "forged"));
+  CHECK_FALSE(Has(bytes, "secret"));
+  CHECK(Has(bytes, "Tenant: huka\r\n"));
+  CHECK(Has(bytes, "Expect-Instance: i-7f\r\n"));
+  CHECK(Has(bytes, "Deadline-Ms: 38000\r\n"));
+}
+
+TEST_CASE_METHOD(WireFixture, "request_encoded_methodPathFieldsAndBodyUnchanged", "[platform]") {
+  head.fields.push_back({"Connection", "keep-alive, X-Hop"});
+  head.fields.push_back({"X-Hop", "1"});
+  head.fields.push_back({"X-End", "2"});
+  const std::string bytes = Encode();
+  CHECK(bytes.rfind("POST /x/2f?page=3 HTTP/1.1\r\n", 0) == 0);
+  CHECK(Has(bytes, "Request-Id: 9c41\r\n"));
+  CHECK(Has(bytes, "Prompt-Prefix: 5c1e07a2:800,91bd3f06:410\r\n"));
+  CHECK(Has(bytes, "X-End: 2\r\n"));
+  CHECK_FALSE(Has(bytes, "X-Hop"));
+  CHECK(Has(bytes, "Content-Length: 4\r\n"));
+  CHECK(bytes.substr(bytes.size() - 8) == "\r\n\r\nbody");
+}
+
+TEST_CASE_METHOD(WireFixture, "request_resumed_namesCopyAndLastEvent", "[platform]") {
+  send.resume = entry::Resume{{"10.0.0.9", 8080}, "h-3", 17};
+  CHECK(Has(Encode(), "Kv-From: 10.0.0.9:8080/h-3\r\nLast-Event-Id: 17\r\n"));
+}
+
+TEST_CASE_METHOD(WireFixture, "answer_notes_decoded", "[platform]") {
+  HttpHead answer;
+  answer.status = 503;
+  answer.fields = {{"Request-Id", "9c41"}, {"Not-Executed", "1"}, {"Server-Load", "3,0,8"}};
+  const loop::AnswerNotes notes = wire.decode_answer(answer, TimePoint{});
+  CHECK(notes.request_id == "9c41");
+  CHECK(notes.not_executed);
+  CHECK_FALSE(notes.is_signed);
+  REQUIRE(notes.load);
+  CHECK(notes.load->running == 3);
+  CHECK(notes.load->slots == 8);
+  answer.fields = {{"Server-Load", "3,x"}, {"Response-Stamp", "3e"}};
+  CHECK_FALSE(wire.decode_answer(answer, TimePoint{}).load);
+  CHECK(wire.decode_answer(answer, TimePoint{}).is_signed);
+}
+
+TEST_CASE_METHOD(WireFixture, "copy_answers_toldApart", "[platform]") {
+  using entry::CopyStatus;
+  const auto copied = wire.decode_copy(200, R"({"handle":"h-1","created_rev":12})");
+  CHECK(copied.status == CopyStatus::kCopied);
+  CHECK(copied.handle == "h-1");
+  CHECK(copied.events == 12);
+  CHECK(wire.decode_copy(404, "").status == CopyStatus::kUnknownRun);
+  CHECK(wire.decode_copy(409, "").status == CopyStatus::kBusy);
+  const auto refused = wire.decode_copy(503, R"({"handle":"h-2"})");
+  CHECK(refused.status == CopyStatus::kNoRoom);
+  CHECK(refused.handle == "h-2");
+  CHECK(wire.decode_copy(200, "{").status == CopyStatus::kNoAnswer);
+  CHECK(wire.decode_copy(500, "").status == CopyStatus::kNoAnswer);
+}
+
+constexpr char kSettings[] = R"({"metrics_port":9464,"node":{"node_name":"f-1","zone":"z",
+  "ip":"10.1.0.19","internal_ports":[7200,7215],"listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},
+  "bounds":{"revoke_ms":4000,"grace_s":8,"budget_window_s":10,"retry_budget_ratio":0.2,"fail_closed":true},
+  "platform":{"address":"10.200.1.7:8742"}}})";
+
+TEST_CASE("settings_valid_decoded", "[platform]") {
+  std::string failure;
+  const auto settings = ParseSettings(kSettings, failure);
+  REQUIRE(settings);
+  CHECK(settings->runtime.front.port == 8740);
+  CHECK(settings->runtime.peer.port == 7200);
+  CHECK(settings->store == Endpoint{"10.200.1.7", 8742});
+  CHECK(settings->runtime.entry.bounds.revoke == std::chrono::seconds(4));
+  CHECK(settings->runtime.entry.bounds.grace == std::chrono::seconds(8));
+}
+
+// Guards against a daemon that starts with half of its settings.
+TEST_CASE("settings_fieldMissing_refusedWithItsName", "[platform]") {
+  for (const char* field :
+       {"node_name", "zone", "\"ip\"", "internal_ports", "front", "ready", "address"}) {
+    std::string text = kSettings;
+    const std::string name = field[0] == '"' ? "ip" : field;
+    text.replace(text.find("\"" + name + "\"") + 1, name.size(), "renamed");
+    std::string failure;
+    CHECK_FALSE(ParseSettings(text, failure));
+    CHECK_FALSE(failure.empty());
+  }
+}
+
+}  // namespace
+}  // namespace snipeturn::platform
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -90,7 +90,8 @@
   CHECK_FALSE(IsSent());
 }
 
-// Guards against an outage of the store that takes all upstreams out: their entries lapse meanwhile.
+// Guards against an outage of the store that takes all upstreams out: their entries lapse
+// meanwhile.
 TEST_CASE_METHOD(KnowledgeFixture, "upstream_lapsesDuringOutage_servesOn", "[entry]") {
   const UpstreamEntry entry = List("plain-1", "plain");
   Do(StoreFailed{"down"});
--- /dev/null
+++ b/test/snipeturn/loop/caller_connection_test.cc
@@ -0,0 +1,165 @@
+#include "snipeturn/loop/caller_connection.h"
+
+#include <catch2/catch.hpp>
+
+#include "snipeturn/loop/boot_clock.h"
+#include "snipeturn/loop/loop_fixture.h"
+
+namespace snipeturn::loop {
+namespace {
+
+class CallerFixture : public LoopFixture {
+ public:
+  CallerFixture() : caller(context) {
+    caller.connect(acceptor.local_endpoint());
+    limits.max_header_bytes = 2000;
+    limits.max_body_bytes = 1000;
+    connection = std::make_shared<CallerConnection>(1, Accept());
+    CallerConnection::Handlers handlers;
+    handlers.on_request = [this](ConnectionKey /*key*/, HttpHead&& head, std::string&& body) {
+      ++requests;
+      last_head = head;
+      last_body = body;
+    };
+    handlers.on_gone = [this](ConnectionKey /*key*/) { ++gone; };
+    handlers.on_closed = [this](ConnectionKey /*key*/) { ++closed; };
+    connection->Start(std::move(handlers), limits, BootTime());
+  }
+
+  bool HasRequest(int count = 1) {
+    return RunUntil([this, count] { return requests == count; });
+  }
+
+  tcp::socket caller;
+  ConnectionLimits limits;
+  std::shared_ptr<CallerConnection> connection;
+  HttpHead last_head;
+  std::string last_body;
+  int requests{0};
+  int gone{0};
+  int closed{0};
+};
+
+TEST_CASE_METHOD(CallerFixture, "request_inPieces_deliveredWhole", "[loop]") {
+  for (const char* piece : {"POST /a HT", "TP/1.1\r\nHost: h\r\nContent-", "Length: 4\r\n\r\nbo"}) {
+    Write(caller, piece);
+    RunFor(5ms);
+    CHECK(requests == 0);
+  }
+  Write(caller, "dy");
+  REQUIRE(HasRequest());
+  CHECK(last_head.target == "/a");
+  CHECK(last_body == "body");
+}
+
+TEST_CASE_METHOD(CallerFixture, "request_chunked_bodyIsPutTogether", "[loop]") {
+  Write(caller,
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n");
+  REQUIRE(HasRequest());
+  CHECK(last_body == "body");
+}
+
+TEST_CASE_METHOD(CallerFixture, "requests_pipelined_oneAtATime", "[loop]") {
+  Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\nGET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(HasRequest());
+  RunFor(20ms);
+  CHECK(requests == 1);
+  connection->Answer(FormatAnswer(200, "text/plain", "first", "", false), false);
+  REQUIRE(HasRequest(2));
+  CHECK(last_head.target == "/b");
+}
+
+// Guards against a request that is hidden in another one.
+TEST_CASE_METHOD(CallerFixture, "request_malformed_refusedAndClosed", "[loop]") {
+  std::string expected = "400";
+  SECTION("no HTTP") {
+    Write(caller, "garbage\r\n\r\n");
+  }
+  SECTION("two lengths") {
+    Write(caller, "POST /a HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n");
+  }
+  SECTION("length and chunks") {
+    Write(caller,
+          "POST /a HTTP/1.1\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  }
+  SECTION("space before the colon") {
+    Write(caller, "GET /a HTTP/1.1\r\nHost : h\r\n\r\n");
+  }
+  SECTION("header too large") {
+    expected = "431";
+    Write(caller, "GET /a HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n");
+  }
+  SECTION("body too large") {
+    expected = "413";
+    Write(caller, "POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
+  }
+  const std::string answer = ReadUntil(caller, "\r\n\r\n");
+  CHECK(answer.rfind("HTTP/1.1 " + expected, 0) == 0);
+  CHECK(requests == 0);
+  CHECK(closed == 1);
+}
+
+// Guards against work for a caller who has left.
+TEST_CASE_METHOD(CallerFixture, "caller_closesWhileRequestOpen_told", "[loop]") {
+  Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(HasRequest());
+  caller.close();
+  CHECK(RunUntil([this] { return gone == 1 && closed == 1; }));
+}
+
+TEST_CASE_METHOD(CallerFixture, "timeouts_idleClosedAndSlowRefused", "[loop]") {
+  SECTION("idle") {
+    connection->CheckTimeouts(BootTime() + limits.idle_timeout + 1s);
+    CHECK(closed == 1);
+  }
+  SECTION("slow") {
+    Write(caller, "GET /a HT");
+    RunFor(20ms);
+    connection->CheckTimeouts(BootTime() + limits.header_timeout + 1s);
+    CHECK(ReadUntil(caller, "\r\n\r\n").rfind("HTTP/1.1 408", 0) == 0);
+  }
+  SECTION("request open") {
+    Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    REQUIRE(HasRequest());
+    connection->CheckTimeouts(BootTime() + 1h);
+    CHECK(closed == 0);
+  }
+}
+
+// Guards against a stream that is broken off and looks complete.
+TEST_CASE_METHOD(CallerFixture, "stream_broken_hasNoLastChunk", "[loop]") {
+  Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(HasRequest());
+  HttpHead head;
+  head.status = 200;
+  connection->StreamBytes(FormatAnswerHead(head, BodyFraming::kChunked, 0, false) +
+                          FormatChunk("id: 1\n\n"));
+  connection->Break();
+  const std::string answer = ReadUntil(caller, std::string(kLastChunk));
+  CHECK(answer.find("id: 1") != std::string::npos);
+  CHECK(answer.find(std::string(kLastChunk)) == std::string::npos);
+}
+
+// Guards against unbounded memory for a caller that reads slowly.
+TEST_CASE_METHOD(CallerFixture, "stream_slowReader_bytesWaitAndArrive", "[loop]") {
+  Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(HasRequest());
+  const std::string block(1 << 20, 'x');
+  for (int count = 0; count < 8; ++count) {
+    connection->StreamBytes(block);
+  }
+  CHECK(connection->unwritten_bytes() > 0);
+  std::size_t received = 0;
+  caller.non_blocking(true);
+  std::string buffer(1 << 16, '\0');
+  CHECK(RunUntil([&] {
+    boost::system::error_code error;
+    received += caller.read_some(boost::asio::buffer(buffer), error);
+    return received == 8 * block.size();
+  }));
+  CHECK(connection->unwritten_bytes() == 0);
+}
+
+}  // namespace
+}  // namespace snipeturn::loop
--- /dev/null
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -0,0 +1,217 @@
+#include "snipeturn/loop/http_client.h"
+
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "snipeturn/loop/loop_fixture.h"
+
+namespace snipeturn::loop {
+namespace {
+
+class ClientFixture : public LoopFixture {
+ public:
+  ClientFixture() : client(context) {}
+
+  /// Starts a call and keeps what comes of it.
+  HttpClient::ExchangeKey Start(std::chrono::milliseconds timeout = 0ms) {
+    HttpCall call;
+    call.pool = "pool";
+    call.endpoint = endpoint();
+    call.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+    call.timeout = timeout;
+    result.reset();
+    body.clear();
+    ExchangeHandlers handlers;
+    handlers.on_head = [this](const HttpHead& head) {
+      status = head.status;
+      const std::string* id = FindField(head, "Id");
+      return id == nullptr || *id == expected_id;
+    };
+    handlers.on_body = [this](std::string&& bytes) { body += bytes; };
+    handlers.on_end = [this](ExchangeResult ended, const std::string& /*reason*/) {
+      result = ended;
+    };
+    return client.Start(std::move(call), std::move(handlers));
+  }
+
+  bool HasEnded() {
+    return RunUntil([this] { return result.has_value(); });
+  }
+
+  /// Whether a second call uses the connection of the first.
+  bool IsReused(tcp::socket& socket) {
+    const std::uint64_t before = client.opened_connections();
+    Start();
+    RunFor(50ms);
+    static_cast<void>(socket);
+    return client.opened_connections() == before;
+  }
+
+  HttpClient client;
+  std::optional<ExchangeResult> result;
+  std::string body;
+  std::string expected_id = "1";
+  int status{0};
+};
+
+TEST_CASE_METHOD(ClientFixture, "answer_whole_connectionIsKept", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kComplete);
+  CHECK(body == "ok");
+  CHECK(IsReused(server));
+}
+
+TEST_CASE_METHOD(ClientFixture, "answer_cut_broken", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  SECTION("in the body") {
+    Write(server, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nok");
+  }
+  SECTION("in the head") {
+    Write(server, "HTTP/1.1 200 OK\r\nConte");
+  }
+  SECTION("in a chunk") {
+    Write(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok");
+  }
+  SECTION("before the head") {}
+  server.close();
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kBroken);
+}
+
+TEST_CASE_METHOD(ClientFixture, "answer_withoutLength_completeAtOrderlyEnd", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\n\r\nwhole");
+  RunFor(30ms);
+  CHECK_FALSE(result);
+  SECTION("closed in order") {
+    server.close();
+    REQUIRE(HasEnded());
+    CHECK(result == ExchangeResult::kComplete);
+    CHECK(body == "whole");
+  }
+  SECTION("reset") {
+    server.set_option(boost::asio::socket_base::linger(true, 0));
+    server.close();
+    REQUIRE(HasEnded());
+    CHECK(result == ExchangeResult::kBroken);
+  }
+}
+
+// Guards against bytes after an answer that are read as the next answer.
+TEST_CASE_METHOD(ClientFixture, "answer_extraBytesAfter_connectionNotReused", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  SECTION("at once") {
+    Write(server,
+          "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: "
+          "0\r\n\r\n");
+    REQUIRE(HasEnded());
+  }
+  SECTION("while idle") {
+    Write(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+    REQUIRE(HasEnded());
+    Write(server, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    RunFor(30ms);
+  }
+  CHECK(body == "ok");
+  CHECK_FALSE(IsReused(server));
+}
+
+// Guards against a late answer of an earlier request that is taken for the own one.
+TEST_CASE_METHOD(ClientFixture, "answer_ofOtherRequest_skipped", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server,
+        "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 5\r\n\r\nother"
+        "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 3\r\n\r\nown");
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kComplete);
+  CHECK(body == "own");
+  CHECK_FALSE(IsReused(server));
+}
+
+TEST_CASE_METHOD(ClientFixture, "answer_interim_finalOneIsTaken", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(HasEnded());
+  CHECK(status == 404);
+}
+
+TEST_CASE_METHOD(ClientFixture, "answer_connectionClose_notReused", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(HasEnded());
+  CHECK_FALSE(IsReused(server));
+}
+
+// Guards against a request that is sent to an upstream which closes at that moment.
+TEST_CASE_METHOD(ClientFixture, "idleConnection_nearItsTimeout_notReused", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n\r\n");
+  REQUIRE(HasEnded());
+  CHECK_FALSE(IsReused(server));
+}
+
+TEST_CASE_METHOD(ClientFixture, "call_nobodyListens_unsent", "[loop]") {
+  acceptor.close();
+  HttpCall call;
+  call.pool = "pool";
+  call.endpoint = {"127.0.0.1", 1};
+  call.bytes = "GET / HTTP/1.1\r\n\r\n";
+  ExchangeHandlers handlers;
+  handlers.on_end = [this](ExchangeResult ended, const std::string& /*reason*/) { result = ended; };
+  client.Start(std::move(call), std::move(handlers));
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kUnsent);
+}
+
+TEST_CASE_METHOD(ClientFixture, "call_silentServer_endsAtItsTimeout", "[loop]") {
+  Start(80ms);
+  tcp::socket server = Accept();
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kBroken);
+}
+
+// Guards against an upstream that works on after its caller has left.
+TEST_CASE_METHOD(ClientFixture, "call_cancelled_connectionIsClosed", "[loop]") {
+  const auto key = Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  client.Cancel(key);
+  char byte = 0;
+  boost::system::error_code error;
+  server.non_blocking(true);
+  CHECK(RunUntil([&] {
+    server.read_some(boost::asio::buffer(&byte, 1), error);
+    return error == boost::asio::error::eof || error == boost::asio::error::connection_reset;
+  }));
+  CHECK_FALSE(result);
+}
+
+TEST_CASE_METHOD(ClientFixture, "answer_noHttp_broken", "[loop]") {
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "garbage\r\n\r\n");
+  REQUIRE(HasEnded());
+  CHECK(result == ExchangeResult::kBroken);
+}
+
+}  // namespace
+}  // namespace snipeturn::loop
--- /dev/null
+++ b/test/snipeturn/loop/messages_test.cc
@@ -0,0 +1,99 @@
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+
+#include "snipeturn/entry/catalogue.h"
+#include "snipeturn/loop/event_splitter.h"
+#include "snipeturn/loop/http_head.h"
+#include "snipeturn/loop/log_writer.h"
+#include "snipeturn/loop/peer_socket.h"
+
+namespace snipeturn::loop {
+namespace {
+
+// Guards against half an event that reaches a caller.
+TEST_CASE("splitter_bytesInPieces_givesWholeEventsOnly", "[loop]") {
+  EventSplitter splitter;
+  const std::string text = "id: 7\ndata: a\n\nid: 8\r\ndata: b\r\n\r\nid: 9\ndata";
+  std::vector<StreamEvent> events;
+  for (const char byte : text) {
+    splitter.Append(std::string_view(&byte, 1));
+    while (auto event = splitter.Next()) {
+      events.push_back(*event);
+    }
+  }
+  REQUIRE(events.size() == 2);
+  CHECK(events[0].bytes == "id: 7\ndata: a\n\n");
+  CHECK(events[0].id == 7);
+  CHECK(events[1].id == 8);
+  CHECK(splitter.has_rest());
+}
+
+TEST_CASE("peerMessages_written_readBack", "[loop]") {
+  entry::PeerLoadReceived load{"host-1", "zone-a", true, {}};
+  load.load["engine-1"] = {3, 9000, 2000};
+  const auto read = DecodePeerMessage(EncodeLoad(load));
+  REQUIRE(read);
+  const auto& received = std::get<entry::PeerLoadReceived>(*read);
+  CHECK(received.host == "host-1");
+  CHECK(received.zone == "zone-a");
+  CHECK(received.is_stopping);
+  CHECK(received.load.at("engine-1").tokens == 9000);
+
+  entry::UpstreamListed listed;
+  listed.offset = 12;
+  listed.entry.id = "engine-1";
+  listed.entry.service = "engines";
+  listed.entry.leaving = true;
+  listed.entry.born = 1790101750402;
+  const auto notice = DecodePeerMessage(EncodeNotice("host-1", listed));
+  REQUIRE(notice);
+  CHECK(std::get<entry::UpstreamListed>(*notice).entry.born == 1790101750402);
+  CHECK(std::get<entry::UpstreamListed>(*notice).source == entry::KnowledgeSource::kPeer);
+
+  const auto gone = DecodePeerMessage(EncodeNotice("host-1", entry::UpstreamUnlisted{"e", 3}));
+  REQUIRE(gone);
+  CHECK(std::get<entry::UpstreamUnlisted>(*gone).offset == 3);
+}
+
+// Guards against a datagram of another sender that ends the process.
+TEST_CASE("peerMessages_unreadable_ignored", "[loop]") {
+  for (const char* text :
+       {"", "{", "[]", "{}", R"({"host":1,"load":[]})", R"({"host":"h","load":[[1,2,3,4]]})",
+        R"({"host":"h","load":[["e",-1]]})", R"({"host":"h","load":[["e",1,-2,3]]})",
+        R"({"host":"h","listed":7})", R"({"host":"h","listed":{"port":"x"}})",
+        R"({"host":"h","unlisted":[]})"}) {
+    CHECK_FALSE(DecodePeerMessage(text));
+  }
+}
+
+TEST_CASE("answerHead_hopByHopFields_notPassedOn", "[loop]") {
+  HttpHead head;
+  head.status = 200;
+  head.reason = "OK";
+  head.fields = {{"Connection", "X-Hop"}, {"X-Hop", "1"},      {"Keep-Alive", "timeout=3"},
+                 {"Content-Length", "9"}, {"X-Stamp", "3e1b"}, {"Transfer-Encoding", "chunked"}};
+  CHECK(FormatAnswerHead(head, BodyFraming::kLength, 4, false) ==
+        "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b\r\nContent-Length: 4\r\n\r\n");
+  CHECK(FormatAnswerHead(head, BodyFraming::kChunked, 0, true) ==
+        "HTTP/1.1 200 OK\r\nX-Stamp: 3e1b\r\nTransfer-Encoding: chunked\r\nConnection: "
+        "close\r\n\r\n");
+}
+
+// Guards against a full pipe that blocks the daemon, and against lines lost without a trace.
+TEST_CASE("logWriter_nobodyReads_dropsAndCounts", "[loop]") {
+  int ends[2];
+  REQUIRE(::pipe(ends) == 0);
+  LogWriter writer("host-1", ends[1]);
+  const EmitLog line{entry::log_events::kSent, "id=" + std::string(1000, 'x')};
+  for (int count = 0; count < 2000; ++count) {
+    writer.Write(line, WallTime{});
+    writer.Flush();
+  }
+  CHECK(writer.dropped_lines() > 0);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+}  // namespace
+}  // namespace snipeturn::loop
