Tell load when it changes, spread placements with the number of hosts

Change: a host tells its load when work at an engine begins or ends (at most 400 tables a second arrive at a host); the random part of the score grows with the number of hosts.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -127,6 +127,7 @@
              work.now + std::chrono::milliseconds(static_cast<std::int64_t>(
                             static_cast<double>(request.latency_objective.count()) * kHedgeShare)));
   }
+  state.load_changes += request.kind == RouteKind::kStream ? 1 : 0;
   work.effects.push_back(std::move(send));
 }
 
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -198,6 +198,7 @@
                                TimerKind::kEntryHedge, TimerKind::kEntryMove}) {
     Cancel(state.timers, {kind, request.key});
   }
+  state.load_changes += request.kind == RouteKind::kStream ? 1 : 0;
   state.requests.erase(request.key);
   DispatchQueue(work);
 }
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -189,6 +189,7 @@
   move.target_endpoint = target.entry.endpoint;
   move.began = work.now;
   request.move = move;
+  work.state.load_changes += 1;
   Log(work, log_events::kMoveStarted,
       fmt::format("id={} source={} target={} use={:.2f} tokens={} notice_ms={}", request.head.id,
                   move.source, move.target, placement.use,
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -31,8 +31,11 @@
 constexpr double kFailurePenalty = 2.0;
 /// Preference for the engine that is likely to have read a shared prefix.
 constexpr double kAffinityBonus = 0.05;
-/// Random part of the score, so that hosts with the same view don't all choose the same upstream.
+/// Random part of the score, so that hosts with the same view don't all choose the same upstream;
+/// the more hosts, the more choose before they hear of one another.
 constexpr double kJitter = 0.04;
+constexpr double kJitterPerHost = 0.0015;
+constexpr double kMostJitter = 0.2;
 constexpr double kHashRange = 18446744073709551616.0;  // 2^64
 
 /// For a copy: hosts that hear of a notice at the same moment spread their copies, since a target's
@@ -128,7 +131,9 @@
     if (!scored.has_room || IsColdLimitReached(state, upstream, now)) {
       continue;
     }
-    const double jitter = source != nullptr ? kMoveJitter : kJitter;
+    const double jitter = source != nullptr
+                              ? kMoveJitter
+                              : std::min(kMostJitter, kJitter + kJitterPerHost * state.hosts);
     double score = scored.score + jitter * UnitHash(request.head.id, id);
     if (upstream.entry.zone != home_zone) {
       score += source != nullptr ? kMoveZonePenalty : kZonePenalty;
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -61,6 +61,8 @@
   std::map<std::string, double> served_tokens;
   TimePoint served_decayed_at{};
   Timers timers;
+  /// Raised when work at an engine begins or ends here; other hosts place by it.
+  std::uint64_t load_changes{0};
   AttemptKey next_attempt{1};
   std::uint64_t next_copy{1};
   bool is_stopping{false};
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -23,9 +23,10 @@
 constexpr std::chrono::milliseconds kHousekeeping{100};
 /// An unchanged load table is told again after so long, within the time after which it lapses.
 constexpr std::chrono::milliseconds kLoadRepeat{500};
-/// Hosts up to which a changed load table is told in each round; beyond, more seldom, so that the
-/// messages that a host gets don't grow with the square of the hosts.
-constexpr std::size_t kPeersPerRound = 12;
+/// A changed load table is told at once, but not more often than this; the more hosts there are the
+/// more seldom, so that a host gets at most some 400 tables a second.
+constexpr std::chrono::milliseconds kLeastLoadInterval{20};
+constexpr std::chrono::microseconds kLoadIntervalPerPeer{2500};
 /// Bytes that wait for a caller before its upstream's answer is read on.
 constexpr std::size_t kMaxUnwritten = 262144;
 /// Largest whole answer that is kept until it is complete.
@@ -258,6 +259,9 @@
     }
   }
   is_reducing_ = false;
+  if (told_changes_ != state_.load_changes) {
+    TellPeers(BootTime());
+  }
   ArmTimer();
 }
 
@@ -654,19 +658,17 @@
 }
 
 void EntryRuntime::TellPeers(TimePoint now) {
-  const auto rounds = 1 + peers_->peer_count() / internal::kPeersPerRound;
   const auto since = now - told_load_at_;
-  if (peers_->peer_count() == 0 || since < internal::kHousekeeping * rounds * 9 / 10) {
-    return;
-  }
-  std::string load = EncodeLoad(
-      {options_.entry.host, options_.entry.zone, state_.is_stopping, entry::OwnLoad(state_)});
-  if (load == told_load_ && since < internal::kLoadRepeat) {
+  const bool has_changed = told_changes_ != state_.load_changes;
+  const auto least = std::max<std::chrono::microseconds>(
+      internal::kLeastLoadInterval, internal::kLoadIntervalPerPeer * peers_->peer_count());
+  if (peers_->peer_count() == 0 || since < (has_changed ? least : internal::kLoadRepeat)) {
     return;
   }
-  told_load_ = std::move(load);
+  told_changes_ = state_.load_changes;
   told_load_at_ = now;
-  peers_->Broadcast(told_load_);
+  peers_->Broadcast(EncodeLoad(
+      {options_.entry.host, options_.entry.zone, state_.is_stopping, entry::OwnLoad(state_)}));
 }
 
 void EntryRuntime::DoHousekeeping() {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -156,7 +156,7 @@
   bool is_stopped_{false};
   ConnectionKey next_connection_{1};
   entry::RequestKey next_request_{1};
-  std::string told_load_;
+  std::uint64_t told_changes_{0};
   TimePoint told_load_at_{};
 };
 
