Two hosts read the list and the configuration, all others are told

Change: the first two hosts by rendezvous hashing read often and tell news with the load tables, several times and numbered; a gap, or a peer that has read the configuration further, makes a host read at once. Without a fresh reader each host reads by itself in time.

--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -10,7 +10,6 @@
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/log_event.h"
 #include "snipeturn/base/metric.h"
-#include "snipeturn/entry/event.h"
 #include "snipeturn/entry/fwd.h"
 
 namespace snipeturn::entry {
@@ -93,12 +92,11 @@
   std::string handle;
 };
 
-/// What this host learned first and the others should know at once.
-using PeerNotice = std::variant<UpstreamListed, UpstreamUnlisted>;
+/// Read the upstream list now: news of another host were lost.
+struct ReadList {};
 
-struct TellPeers {
-  PeerNotice notice;
-};
+/// Read the configuration now: another host has read further.
+struct ReadConfiguration {};
 
 /// No connection to the upstream is needed any more.
 struct ForgetUpstream {
@@ -117,7 +115,8 @@
                             Refuse,
                             StartCopy,
                             DropCopy,
-                            TellPeers,
+                            ReadList,
+                            ReadConfiguration,
                             ForgetUpstream,
                             EmitLog,
                             Count,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -121,6 +121,12 @@
   KnowledgeSource source{KnowledgeSource::kStore};
 };
 
+/// A read of the upstream list that missed nothing.
+struct ListConfirmed {
+  /// When the read began.
+  TimePoint began{};
+};
+
 /// All newest records of the upstream list, after records were missed.
 struct UpstreamListRead {
   std::vector<UpstreamListed> entries;
@@ -132,6 +138,8 @@
 struct StoreConfirmed {
   /// When the read began; the configuration was the newest then or later.
   TimePoint began{};
+  /// Offset after the last record that was read.
+  std::uint64_t offset{0};
 };
 
 /// A read of the store failed.
@@ -144,11 +152,28 @@
   int hosts{1};
 };
 
+/// What a host learned from the store and the others should know at once.
+struct PeerNews {
+  /// Counts the host's news; a gap means that some were lost.
+  std::uint64_t number{0};
+  std::variant<UpstreamListed, UpstreamUnlisted> notice;
+};
+
 struct PeerLoadReceived {
   std::string host;
   std::string zone;
   /// The host has been told to stop and takes no new callers.
   bool is_stopping{false};
+  /// Number of the host's last news.
+  std::uint64_t news{0};
+  /// Its news of the last moments; they come several times, as datagrams get lost.
+  std::vector<PeerNews> recent_news;
+  /// Offset up to which the host has read the configuration.
+  std::uint64_t configuration_offset{0};
+  /// Age of its last read of the configuration; nothing before the first.
+  std::optional<std::chrono::milliseconds> configuration_age;
+  /// Age of its last read of the upstream list; nothing before the first.
+  std::optional<std::chrono::milliseconds> list_age;
   LoadTable load;
 };
 
@@ -170,6 +195,7 @@
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
+                           ListConfirmed,
                            StoreConfirmed,
                            StoreFailed,
                            HostsRead,
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -5,6 +5,9 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
 #include <vector>
 
 #include "snipeturn/base/timers.h"
@@ -22,6 +25,11 @@
 /// A leaving upstream without work of this host is forgotten after so long.
 constexpr std::chrono::milliseconds kForgetAfter{5000};
 constexpr std::chrono::milliseconds kReviewInterval{250};
+/// News are told again for so long, at least with the next two load tables, and at most so many.
+constexpr std::chrono::milliseconds kNewsLife{1200};
+constexpr std::size_t kMostNews = 24;
+/// A host whose load came within this time is alive.
+constexpr std::chrono::milliseconds kHeardOfLate{2000};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
 /// doesn't bring it back.
 constexpr std::size_t kMostOffsets = 4096;
@@ -46,6 +54,16 @@
   return std::tie(entry.born, entry.sequence) < std::tie(known.born, known.sequence);
 }
 
+template <typename Notice>
+void Tell(Work& work, const Notice& notice) {
+  State& state = work.state;
+  while (!state.recent_news.empty() && (work.now - state.recent_news.front().at > kNewsLife ||
+                                        state.recent_news.size() >= kMostNews)) {
+    state.recent_news.pop_front();
+  }
+  state.recent_news.push_back({work.now, {++state.news, notice}});
+}
+
 /// Takes the offset of a record; false when a newer one of the upstream is known.
 bool TakeOffset(Work& work, const UpstreamId& id, std::uint64_t offset) {
   auto& offsets = work.state.list_offsets;
@@ -162,7 +180,7 @@
   const bool is_news = is_new_life || upstream.entry.leaving != entry.leaving ||
                        upstream.phase == UpstreamPhase::kLapsed;
   if (is_news && event.source == KnowledgeSource::kStore) {
-    work.effects.push_back(TellPeers{event});
+    Tell(work, event);
   }
   upstream.entry = entry;
   if (entry.cold_left.count() > 0) {
@@ -189,7 +207,7 @@
     return;
   }
   if (event.source == KnowledgeSource::kStore) {
-    work.effects.push_back(TellPeers{event});
+    Tell(work, event);
   }
   Upstream& upstream = found->second;
   if (!MayBeLapse(work)) {
@@ -223,6 +241,58 @@
   }
 }
 
+static void TakeNews(Work& work, const PeerNews& news) {
+  std::visit(
+      [&work](const auto& notice) {
+        if constexpr (std::is_same_v<std::decay_t<decltype(notice)>, UpstreamListed>) {
+          ListUpstream(work, notice);
+        } else {
+          UnlistUpstream(work, notice);
+        }
+      },
+      news.notice);
+}
+
+void TakePeerLoad(Work& work, const PeerLoadReceived& event) {
+  State& state = work.state;
+  PeerLoad& peer = state.peers[event.host];
+  // Lower after a restart of the host.
+  const bool was_heard = std::exchange(peer.was_heard, true);
+  std::uint64_t known = peer.news;
+  bool has_gap = was_heard && event.news < known;  // Another life of the host.
+  for (const PeerNews& news : event.recent_news) {
+    if (news.number <= known && !has_gap) {
+      continue;
+    }
+    has_gap = has_gap || (was_heard && news.number > known + 1);
+    known = news.number;
+    TakeNews(work, news);
+  }
+  has_gap = has_gap || (was_heard && event.news > known);
+  peer.at = work.now;
+  peer.zone = event.zone;
+  peer.is_stopping = event.is_stopping;
+  peer.news = event.news;
+  peer.list_confirmed =
+      event.list_age ? std::optional<TimePoint>(work.now - *event.list_age) : std::nullopt;
+  peer.configuration_confirmed = event.configuration_age
+                                     ? std::optional<TimePoint>(work.now - *event.configuration_age)
+                                     : std::nullopt;
+  peer.load = event.load;
+  // A host that was never heard before counts for the shares at once.
+  const auto heard = std::count_if(
+      state.peers.begin(), state.peers.end(),
+      [&work](const auto& entry) { return work.now - entry.second.at < kHeardOfLate; });
+  state.hosts = std::max(state.hosts, static_cast<int>(heard) + 1);
+  if (has_gap) {
+    work.effects.push_back(ReadList{});
+  }
+  if (event.configuration_offset > state.store.offset) {
+    work.effects.push_back(ReadConfiguration{});
+  }
+  DispatchQueue(work);
+}
+
 void ReviewUpstreams(Work& work) {
   State& state = work.state;
   const std::set<UpstreamId> used = UpstreamsInUse(state);
@@ -260,6 +330,11 @@
   if (!store.confirmed || *store.confirmed < event.began) {
     store.confirmed = event.began;
   }
+  if (store.offset < event.offset) {
+    store.offset = event.offset;
+    // The other hosts are told at once, with the load.
+    work.state.load_changes += 1;
+  }
   if (!store.is_reachable) {
     store.is_reachable = true;
     Log(work, log_events::kStoreRegained, "");
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -7,29 +7,86 @@
 namespace {
 
 /// A host that was silent for so long is no reader; its load table comes every 0.5 s or sooner.
-constexpr std::chrono::milliseconds kSilence{1200};
-constexpr std::chrono::milliseconds kReaderInterval{120};
-/// Share of the time to drain in which every host reads the list by itself; the rest is for the
-/// call and for the record's own way.
+constexpr std::chrono::milliseconds kSilence{900};
+constexpr std::chrono::milliseconds kFirstInterval{120};
+constexpr std::chrono::milliseconds kSecondInterval{400};
+/// While a reader tells its news every host reads by itself only now and then.
+constexpr std::chrono::milliseconds kRelaxedInterval{6000};
+/// Reads of a reader that are fresh enough to rely on: of the list, and of the configuration, whose
+/// confirmations are as old as its waits.
+constexpr std::chrono::milliseconds kFreshList{1300};
+constexpr std::chrono::milliseconds kFreshConfiguration{2300};
+/// Share of the time to drain in which a host without a reader reads the list by itself; the rest
+/// is for the call and for the record's own way.
 constexpr double kOwnReadShare = 0.5;
 
+/// Waits of the two hosts that see a change of the configuration first.
+constexpr std::chrono::milliseconds kFirstConfigurationWait{1000};
+constexpr std::chrono::milliseconds kSecondConfigurationWait{1400};
+/// Share of the time after which keys lapse in which every host confirms the configuration; more
+/// than that makes a host count as not ready.
+constexpr double kConfirmShare = 0.44;
+/// A host that hears no reader must see a change by itself within a second or so.
+constexpr std::chrono::milliseconds kOwnConfigurationInterval{900};
+
+bool IsFresh(const PeerLoad& peer,
+             const std::optional<TimePoint>& confirmed,
+             std::chrono::milliseconds limit,
+             TimePoint now) {
+  return now - peer.at < kSilence && confirmed && now - *confirmed < limit;
+}
+
 }  // namespace
 }  // namespace internal
 
-bool IsReader(const State& state, std::string_view subject, int readers, TimePoint now) {
+int ReaderRank(const State& state, std::string_view subject, TimePoint now) {
   const std::uint64_t own = RendezvousWeight(subject, state.options.host);
   int before = 0;
   for (const auto& [host, peer] : state.peers) {
-    if (now - peer.at < internal::kSilence && RendezvousWeight(subject, host) > own) {
+    if (now - peer.at < internal::kSilence && !peer.is_stopping &&
+        RendezvousWeight(subject, host) > own) {
       ++before;
     }
   }
-  return before < readers;
+  return before;
+}
+
+ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now) {
+  switch (ReaderRank(state, "configuration", now)) {
+    case 0:
+      return {internal::kFirstConfigurationWait, std::chrono::milliseconds{0}};
+    case 1:
+      return {internal::kSecondConfigurationWait, std::chrono::milliseconds{0}};
+    default:
+      break;
+  }
+  for (const auto& [host, peer] : state.peers) {
+    if (internal::IsFresh(peer, peer.configuration_confirmed, internal::kFreshConfiguration, now)) {
+      return {
+          std::chrono::milliseconds{0},
+          std::chrono::milliseconds(static_cast<std::int64_t>(
+              static_cast<double>(state.options.bounds.revoke.count()) * internal::kConfirmShare))};
+    }
+  }
+  return {std::chrono::milliseconds{0}, internal::kOwnConfigurationInterval};
 }
 
 std::chrono::milliseconds ListReadInterval(const State& state, TimePoint now) {
-  if (IsReader(state, "upstream list", kListReaders, now)) {
-    return internal::kReaderInterval;
+  if (state.peers.empty()) {
+    return internal::kSecondInterval;  // Hosts that start together have not met yet.
+  }
+  switch (ReaderRank(state, "upstream list", now)) {
+    case 0:
+      return internal::kFirstInterval;
+    case 1:
+      return internal::kSecondInterval;
+    default:
+      break;
+  }
+  for (const auto& [host, peer] : state.peers) {
+    if (internal::IsFresh(peer, peer.list_confirmed, internal::kFreshList, now)) {
+      return internal::kRelaxedInterval;
+    }
   }
   return std::chrono::milliseconds(static_cast<std::int64_t>(
       static_cast<double>(state.options.bounds.drain.count()) * internal::kOwnReadShare));
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -7,25 +7,34 @@
 
 namespace snipeturn::entry {
 
-/// Hosts that read the upstream list often; two, so that one may fail unnoticed.
-inline constexpr int kListReaders = 2;
-
-/// @brief Tells whether this host is among the readers of a subject, by rendezvous hashing over the
-///     hosts that were heard of late. Hosts that disagree read twice, or for a moment not at all.
+/// @brief Ranks this host among the readers of a subject, by rendezvous hashing over the hosts that
+///     were heard of late. Hosts that disagree read twice, or for a moment not at all.
 /// @param state The entry state.
 /// @param subject What is read.
-/// @param readers How many hosts read it.
 /// @param now Current time.
-/// @return True when it is.
-[[nodiscard]] bool IsReader(const State& state,
-                            std::string_view subject,
-                            int readers,
-                            TimePoint now);
+/// @return 0 for the first reader.
+[[nodiscard]] int ReaderRank(const State& state, std::string_view subject, TimePoint now);
+
+/// @brief How a host reads the configuration.
+struct ConfigurationReads {
+  /// How long the store may wait for a change.
+  std::chrono::milliseconds wait{0};
+  /// Least time between the begins of two reads.
+  std::chrono::milliseconds interval{0};
+};
+
+/// @brief How this host reads the configuration now.
+///
+/// Two hosts wait at the store for changes and tell the others, which read at once then. All read
+/// often enough to confirm the callers' keys; the age of a confirmation counts from the begin of
+/// the read, so one that waits is old when it ends.
+[[nodiscard]] ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now);
 
 /// @brief Least time between two reads of the upstream list.
 ///
-/// Readers see a notice at once and tell the others; a host that nobody tells still reads it within
-/// the time in which a leaving upstream must get no more work.
+/// The first reader sees a notice at once and tells the others, the second one takes over. The rest
+/// read seldom while a reader is heard that has read the list of late; else within the time in
+/// which a leaving upstream must get no more work.
 [[nodiscard]] std::chrono::milliseconds ListReadInterval(const State& state, TimePoint now);
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -108,8 +108,9 @@
             state.hosts = item.hosts;
           }
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
-          state.peers[item.host] = {work.now, item.zone, item.is_stopping, item.load};
-          DispatchQueue(work);
+          TakePeerLoad(work, item);
+        } else if constexpr (std::is_same_v<Item, ListConfirmed>) {
+          state.list_confirmed = item.began;
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
           state.options.bounds = item.bounds;
         } else if constexpr (std::is_same_v<Item, ShutdownRequested>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -20,6 +21,8 @@
 struct StoreView {
   /// Begin of the last read that missed no change of the configuration.
   std::optional<TimePoint> confirmed;
+  /// Offset up to which the configuration was read.
+  std::uint64_t offset{0};
   /// Last failed read.
   std::optional<TimePoint> failed;
   bool is_reachable{false};
@@ -30,6 +33,12 @@
   TimePoint at{};
   std::string zone;
   bool is_stopping{false};
+  /// Number of the last news that was received, or known not to concern this host.
+  std::uint64_t news{0};
+  bool was_heard{false};
+  /// When its last reads began, by this host's clock.
+  std::optional<TimePoint> configuration_confirmed;
+  std::optional<TimePoint> list_confirmed;
   LoadTable load;
 };
 
@@ -47,6 +56,16 @@
   StoreView store;
   int hosts{1};
   UpstreamTable upstreams;
+  /// Number of the last news of this host.
+  std::uint64_t news{0};
+  struct RecentNews {
+    TimePoint at{};
+    PeerNews news;
+  };
+  /// News that are still told.
+  std::deque<RecentNews> recent_news;
+  /// Begin of the last read of the upstream list.
+  std::optional<TimePoint> list_confirmed;
   /// Offset of the newest record known of each upstream, of those that are gone too.
   std::map<UpstreamId, std::uint64_t> list_offsets;
   std::map<std::string, PeerLoad> peers;
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -23,6 +23,8 @@
 constexpr std::chrono::milliseconds kHousekeeping{100};
 /// An unchanged load table is told again after so long, within the time after which it lapses.
 constexpr std::chrono::milliseconds kLoadRepeat{500};
+/// News are told again for so long: with two more tables at least.
+constexpr std::chrono::milliseconds kNewsRepeat{1200};
 /// A changed load table is told at once, but not more often than this; the more hosts there are the
 /// more seldom, so that a host gets at most some 400 tables a second.
 constexpr std::chrono::milliseconds kLeastLoadInterval{20};
@@ -96,7 +98,7 @@
     }
   }
   peers_ = std::make_unique<PeerSocket>(
-      context_, options_.peer, [this](entry::Event&& message) { Apply(std::move(message)); });
+      context_, options_.peer, [this](entry::PeerLoadReceived&& load) { Apply(std::move(load)); });
   if (peers_->failure()) {
     return "peers: " + *peers_->failure();
   }
@@ -259,7 +261,7 @@
     }
   }
   is_reducing_ = false;
-  if (told_changes_ != state_.load_changes) {
+  if (told_changes_ != state_.load_changes || told_news_ != state_.news) {
     TellPeers(BootTime());
   }
   ArmTimer();
@@ -310,8 +312,14 @@
           StartCopy(item);
         } else if constexpr (std::is_same_v<Item, entry::DropCopy>) {
           DropCopy(item);
-        } else if constexpr (std::is_same_v<Item, entry::TellPeers>) {
-          peers_->Broadcast(EncodeNotice(options_.entry.host, item.notice));
+        } else if constexpr (std::is_same_v<Item, entry::ReadList>) {
+          if (on_list_wanted_) {
+            on_list_wanted_();
+          }
+        } else if constexpr (std::is_same_v<Item, entry::ReadConfiguration>) {
+          if (on_configuration_wanted_) {
+            on_configuration_wanted_();
+          }
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           client_.ForgetPool(internal::PoolOf(item.id));
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
@@ -659,16 +667,39 @@
 
 void EntryRuntime::TellPeers(TimePoint now) {
   const auto since = now - told_load_at_;
-  const bool has_changed = told_changes_ != state_.load_changes;
-  const auto least = std::max<std::chrono::microseconds>(
-      internal::kLeastLoadInterval, internal::kLoadIntervalPerPeer * peers_->peer_count());
-  if (peers_->peer_count() == 0 || since < (has_changed ? least : internal::kLoadRepeat)) {
+  const bool has_news = told_news_ != state_.news;
+  std::chrono::microseconds least = internal::kLoadRepeat;
+  if (has_news) {
+    least = internal::kLeastLoadInterval;
+  } else if (told_changes_ != state_.load_changes) {
+    least = std::max<std::chrono::microseconds>(
+        internal::kLeastLoadInterval, internal::kLoadIntervalPerPeer * peers_->peer_count());
+  }
+  if (peers_->peer_count() == 0 || since < least) {
     return;
   }
   told_changes_ = state_.load_changes;
+  told_news_ = state_.news;
   told_load_at_ = now;
-  peers_->Broadcast(EncodeLoad(
-      {options_.entry.host, options_.entry.zone, state_.is_stopping, entry::OwnLoad(state_)}));
+  entry::PeerLoadReceived load;
+  load.host = options_.entry.host;
+  load.zone = options_.entry.zone;
+  load.is_stopping = state_.is_stopping;
+  load.news = state_.news;
+  for (const auto& recent : state_.recent_news) {
+    if (now - recent.at < internal::kNewsRepeat) {
+      load.recent_news.push_back(recent.news);
+    }
+  }
+  load.configuration_offset = state_.store.offset;
+  if (state_.store.confirmed) {
+    load.configuration_age = ToMilliseconds(now - *state_.store.confirmed);
+  }
+  if (state_.list_confirmed) {
+    load.list_age = ToMilliseconds(now - *state_.list_confirmed);
+  }
+  load.load = entry::OwnLoad(state_);
+  peers_->Broadcast(EncodeLoad(load));
 }
 
 void EntryRuntime::DoHousekeeping() {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -57,6 +57,12 @@
   /// @brief Takes the endpoints of the other hosts.
   void SetPeers(std::map<std::string, Endpoint> peers);
 
+  /// @brief Sets what is called when the upstream list or the configuration has to be read at once.
+  void OnReadWanted(std::function<void()> list, std::function<void()> configuration) {
+    on_list_wanted_ = std::move(list);
+    on_configuration_wanted_ = std::move(configuration);
+  }
+
   /// @brief Writes a log line.
   void Log(const EmitLog& entry);
 
@@ -156,7 +162,10 @@
   bool is_stopped_{false};
   ConnectionKey next_connection_{1};
   entry::RequestKey next_request_{1};
+  std::function<void()> on_list_wanted_;
+  std::function<void()> on_configuration_wanted_;
   std::uint64_t told_changes_{0};
+  std::uint64_t told_news_{0};
   TimePoint told_load_at_{};
 };
 
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -23,11 +23,84 @@
   return Json::writeString(builder, root);
 }
 
-std::optional<entry::Event> DecodeLoad(const Json::Value& root) {
+/// An upstream that is listed, as an array to keep datagrams small; one that is not has the first
+/// two values.
+Json::Value EncodeNews(const entry::PeerNews& news) {
+  Json::Value row(Json::arrayValue);
+  row.append(Json::UInt64{news.number});
+  if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&news.notice)) {
+    row.append(Json::UInt64{unlisted->offset});
+    row.append(unlisted->id);
+    return row;
+  }
+  const auto& listed = std::get<entry::UpstreamListed>(news.notice);
+  const entry::UpstreamEntry& entry = listed.entry;
+  row.append(Json::UInt64{listed.offset});
+  row.append(entry.id);
+  row.append(entry.service);
+  row.append(entry.endpoint.address);
+  row.append(entry.endpoint.port);
+  row.append(entry.zone);
+  row.append(entry.slots);
+  row.append(entry.leaving);
+  row.append(Json::Int64{entry.cold_left.count()});
+  row.append(Json::Int64{entry.born});
+  row.append(Json::Int64{entry.sequence});
+  return row;
+}
+
+std::optional<entry::PeerNews> DecodeNews(const Json::Value& row) {
+  constexpr Json::ArrayIndex kUnlistedLength = 3;
+  constexpr Json::ArrayIndex kListedLength = 12;
+  if (!row.isArray() || (row.size() != kUnlistedLength && row.size() != kListedLength) ||
+      !row[2].isString() || row[2].asString().empty()) {
+    return std::nullopt;
+  }
+  Json::ArrayIndex place = 0;
+  const std::uint64_t number = row[place++].asUInt64();
+  const std::uint64_t offset = row[place++].asUInt64();
+  const std::string id = row[place++].asString();
+  if (row.size() == kUnlistedLength) {
+    return entry::PeerNews{number,
+                           entry::UpstreamUnlisted{id, offset, entry::KnowledgeSource::kPeer}};
+  }
+  entry::UpstreamListed listed;
+  listed.source = entry::KnowledgeSource::kPeer;
+  listed.offset = offset;
+  entry::UpstreamEntry& entry = listed.entry;
+  entry.id = id;
+  entry.service = row[place++].asString();
+  entry.endpoint.address = row[place++].asString();
+  entry.endpoint.port = row[place++].asInt();
+  entry.zone = row[place++].asString();
+  entry.slots = row[place++].asInt();
+  entry.leaving = row[place++].asBool();
+  entry.cold_left = std::chrono::milliseconds(row[place++].asInt64());
+  entry.born = row[place++].asInt64();
+  entry.sequence = row[place++].asInt64();
+  return entry::PeerNews{number, std::move(listed)};
+}
+
+std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
   entry::PeerLoadReceived received;
   received.host = root["host"].asString();
   received.zone = root["zone"].asString();
   received.is_stopping = root["stopping"].asBool();
+  received.news = root["news"].asUInt64();
+  received.configuration_offset = root["configuration"].asUInt64();
+  if (root.isMember("configuration_age_ms")) {
+    received.configuration_age = std::chrono::milliseconds(root["configuration_age_ms"].asInt64());
+  }
+  if (root.isMember("list_age_ms")) {
+    received.list_age = std::chrono::milliseconds(root["list_age_ms"].asInt64());
+  }
+  for (const Json::Value& row : root["recent"]) {
+    auto news = DecodeNews(row);
+    if (!news) {
+      return std::nullopt;
+    }
+    received.recent_news.push_back(std::move(*news));
+  }
   for (const Json::Value& row : root["load"]) {
     if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
       return std::nullopt;
@@ -37,26 +110,6 @@
   return received;
 }
 
-std::optional<entry::Event> DecodeListed(const Json::Value& value) {
-  entry::UpstreamListed listed;
-  listed.source = entry::KnowledgeSource::kPeer;
-  listed.offset = value["offset"].asUInt64();
-  entry::UpstreamEntry& entry = listed.entry;
-  entry.id = value["id"].asString();
-  entry.service = value["service"].asString();
-  entry.endpoint = {value["address"].asString(), value["port"].asInt()};
-  entry.zone = value["zone"].asString();
-  entry.slots = value["slots"].asInt();
-  entry.leaving = value["leaving"].asBool();
-  entry.cold_left = std::chrono::milliseconds(value["cold_ms"].asInt64());
-  entry.born = value["born"].asInt64();
-  entry.sequence = value["sequence"].asInt64();
-  if (entry.id.empty() || entry.service.empty()) {
-    return std::nullopt;
-  }
-  return listed;
-}
-
 }  // namespace
 }  // namespace internal
 
@@ -65,6 +118,18 @@
   root["host"] = load.host;
   root["zone"] = load.zone;
   root["stopping"] = load.is_stopping;
+  root["news"] = Json::UInt64{load.news};
+  root["recent"] = Json::Value(Json::arrayValue);
+  for (const entry::PeerNews& news : load.recent_news) {
+    root["recent"].append(internal::EncodeNews(news));
+  }
+  root["configuration"] = Json::UInt64{load.configuration_offset};
+  if (load.configuration_age) {
+    root["configuration_age_ms"] = Json::Int64{load.configuration_age->count()};
+  }
+  if (load.list_age) {
+    root["list_age_ms"] = Json::Int64{load.list_age->count()};
+  }
   root["load"] = Json::Value(Json::arrayValue);
   for (const auto& [upstream, work] : load.load) {
     Json::Value row(Json::arrayValue);
@@ -77,60 +142,25 @@
   return internal::Write(root);
 }
 
-std::string EncodeNotice(std::string_view host, const entry::PeerNotice& notice) {
-  Json::Value root;
-  root["host"] = std::string(host);
-  if (const auto* listed = std::get_if<entry::UpstreamListed>(&notice)) {
-    const entry::UpstreamEntry& entry = listed->entry;
-    Json::Value& value = root["listed"];
-    value["offset"] = Json::UInt64{listed->offset};
-    value["id"] = entry.id;
-    value["service"] = entry.service;
-    value["address"] = entry.endpoint.address;
-    value["port"] = entry.endpoint.port;
-    value["zone"] = entry.zone;
-    value["slots"] = entry.slots;
-    value["leaving"] = entry.leaving;
-    value["cold_ms"] = Json::Int64{entry.cold_left.count()};
-    value["born"] = Json::Int64{entry.born};
-    value["sequence"] = Json::Int64{entry.sequence};
-  } else if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&notice)) {
-    root["unlisted"]["offset"] = Json::UInt64{unlisted->offset};
-    root["unlisted"]["id"] = unlisted->id;
-  }
-  return internal::Write(root);
-}
-
-std::optional<entry::Event> DecodePeerMessage(std::string_view text) {
+std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text) {
   Json::Value root;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr) || !root.isObject() ||
-      !root["host"].isString()) {
+      !root["host"].isString() || !root["load"].isArray()) {
     return std::nullopt;
   }
   // The accessors of Json::Value throw on a value of another type.
   try {
-    if (root.isMember("load")) {
-      return internal::DecodeLoad(root);
-    }
-    if (root.isMember("listed")) {
-      return internal::DecodeListed(root["listed"]);
-    }
-    if (root.isMember("unlisted")) {
-      return entry::UpstreamUnlisted{root["unlisted"]["id"].asString(),
-                                     root["unlisted"]["offset"].asUInt64(),
-                                     entry::KnowledgeSource::kPeer};
-    }
+    return internal::DecodeLoad(root);
   } catch (const Json::Exception&) {
     return std::nullopt;
   }
-  return std::nullopt;
 }
 
 PeerSocket::PeerSocket(boost::asio::io_context& context,
                        const Endpoint& own,
-                       std::function<void(entry::Event&&)> on_message)
-    : socket_(context), on_message_(std::move(on_message)) {
+                       std::function<void(entry::PeerLoadReceived&&)> on_load)
+    : socket_(context), on_load_(std::move(on_load)) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(own.address, error);
   if (!error) {
@@ -163,14 +193,23 @@
                          if (error) {
                            break;
                          }
-                         if (auto message = DecodePeerMessage({buffer_.data(), count})) {
-                           on_message_(std::move(*message));
+                         if (auto load = DecodeLoad({buffer_.data(), count})) {
+                           const Endpoint sender{from.address().to_string(), from.port()};
+                           heard_[load->host] = sender;
+                           peers_.emplace(load->host, sender);
+                           on_load_(std::move(*load));
                          }
                        }
                        AwaitReadable();
                      });
 }
 
+void PeerSocket::SetPeers(std::map<std::string, Endpoint> peers) {
+  peers_ = std::move(peers);
+  peers_.insert(heard_.begin(), heard_.end());
+  heard_.clear();
+}
+
 void PeerSocket::Broadcast(std::string_view datagram) {
   for (const auto& [name, endpoint] : peers_) {
     boost::system::error_code error;
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -10,7 +10,6 @@
 #include <string_view>
 
 #include "snipeturn/base/host.h"
-#include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
 
 namespace snipeturn::loop {
@@ -20,30 +19,29 @@
 /// @return The datagram.
 [[nodiscard]] std::string EncodeLoad(const entry::PeerLoadReceived& load);
 
-/// @brief Writes news about an upstream for other hosts, as JSON.
-[[nodiscard]] std::string EncodeNotice(std::string_view host, const entry::PeerNotice& notice);
-
-/// @brief Reads a datagram of another host.
+/// @brief Reads a load table.
 /// @param text The datagram.
 /// @return The event, or nothing when the datagram can't be read.
-[[nodiscard]] std::optional<entry::Event> DecodePeerMessage(std::string_view text);
+[[nodiscard]] std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text);
 
-/// Sends messages to the other hosts and receives theirs, over UDP: a lost load table is followed
-/// by the next one, and what a lost notice tells is read from the store a moment later.
+/// Sends this host's load table to the other hosts and receives theirs, over UDP: a lost table is
+/// followed by the next one.
 class PeerSocket {
  public:
   /// @brief Opens the socket.
   /// @param context The event loop.
   /// @param own Address and port to bind.
-  /// @param on_message Takes a peer's message.
+  /// @param on_load Takes a peer's table.
   PeerSocket(boost::asio::io_context& context,
              const Endpoint& own,
-             std::function<void(entry::Event&&)> on_message);
+             std::function<void(entry::PeerLoadReceived&&)> on_load);
 
   /// @return Why the socket could not be opened, or nothing.
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
 
-  void SetPeers(std::map<std::string, Endpoint> peers) { peers_ = std::move(peers); }
+  /// @brief Takes the hosts that the store names; those that were heard since stay known.
+  void SetPeers(std::map<std::string, Endpoint> peers);
+
   [[nodiscard]] std::size_t peer_count() const noexcept { return peers_.size(); }
 
   void Broadcast(std::string_view datagram);
@@ -55,8 +53,10 @@
   static constexpr std::size_t kMaxDatagram = 16384;
 
   boost::asio::ip::udp::socket socket_;
-  std::function<void(entry::Event&&)> on_message_;
+  std::function<void(entry::PeerLoadReceived&&)> on_load_;
   std::map<std::string, Endpoint> peers_;
+  /// Hosts that sent a message since the store named its hosts.
+  std::map<std::string, Endpoint> heard_;
   std::optional<std::string> failure_;
   std::array<char, kMaxDatagram> buffer_{};
 };
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -14,6 +14,10 @@
     return !All<Send>().empty();
   }
 
+  static PeerNews News(std::uint64_t number) {
+    return {number, UpstreamUnlisted{"gone", number, KnowledgeSource::kPeer}};
+  }
+
   std::optional<Refuse> Refusal() {
     const std::vector<Refuse> refusals = All<Refuse>();
     return refusals.empty() ? std::nullopt : std::optional(refusals[0]);
@@ -141,14 +145,14 @@
 // Guards against hosts that tell each other the same news for ever.
 TEST_CASE_METHOD(KnowledgeFixture, "news_fromStoreToldOnce_fromPeerNot", "[entry]") {
   UpstreamEntry entry = List("plain-1", "plain");
-  CHECK(All<TellPeers>().size() == 1);
+  CHECK(state.news == 1);
   entry.sequence += 1;
   Do(UpstreamListed{entry, 100});
-  CHECK(All<TellPeers>().empty());
+  CHECK(state.news == 1);
   entry.leaving = true;
   entry.sequence += 1;
   Do(UpstreamListed{entry, 101, KnowledgeSource::kPeer});
-  CHECK(All<TellPeers>().empty());
+  CHECK(state.news == 1);
   CHECK_FALSE(IsSent());
 }
 
@@ -182,22 +186,92 @@
 // Guards against a list that nobody reads, or that every host reads often.
 TEST_CASE("listReaders_hostsHeard_twoReadOften", "[entry]") {
   const TimePoint now(std::chrono::seconds(10));
-  int readers = 0;
+  int first = 0;
+  int second = 0;
   constexpr int kHosts = 20;
   for (int own = 0; own < kHosts; ++own) {
     State state;
     state.options.host = "host-" + std::to_string(own);
     for (int other = 0; other < kHosts; ++other) {
       if (other != own) {
-        state.peers["host-" + std::to_string(other)].at = now;
+        PeerLoad& peer = state.peers["host-" + std::to_string(other)];
+        peer.at = now;
+        peer.list_confirmed = now;
       }
     }
-    readers += ListReadInterval(state, now) < 500ms ? 1 : 0;
-    CHECK(ListReadInterval(state, now) <= state.options.bounds.drain / 2);
+    first += ListReadInterval(state, now) < 200ms ? 1 : 0;
+    second += ListReadInterval(state, now) < 500ms ? 1 : 0;
     // Hosts that hear nobody read by themselves.
     CHECK(ListReadInterval(state, now + 5s) < 500ms);
+    // A reader that is cut off from the store is no help.
+    for (auto& [host, peer] : state.peers) {
+      peer.list_confirmed = now - 2s;
+    }
+    CHECK(ListReadInterval(state, now) <= state.options.bounds.drain / 2);
+  }
+  CHECK(first == 1);
+  CHECK(second == 2);
+}
+
+// Guards against a change of the configuration that a host sees only with its own next read.
+TEST_CASE_METHOD(KnowledgeFixture, "configuration_peerHasReadFurther_isRead", "[entry]") {
+  Do(StoreConfirmed{now, 10});
+  PeerLoadReceived load;
+  load.host = "host-2";
+  load.configuration_offset = 10;
+  Do(load);
+  CHECK(All<ReadConfiguration>().empty());
+  load.configuration_offset = 11;
+  Do(load);
+  CHECK(All<ReadConfiguration>().size() == 1);
+}
+
+// Guards against keys that lapse, and a host that counts as not ready, while all is well: the age
+// of a confirmation is up to the interval, or twice the wait.
+TEST_CASE_METHOD(KnowledgeFixture, "configurationReads_anyRank_keepHostReady", "[entry]") {
+  for (int hosts = 0; hosts < 12; ++hosts) {
+    const ConfigurationReads reads = ReadsOfConfiguration(state, now);
+    CHECK(2 * reads.wait + reads.interval < state.options.bounds.revoke * 6 / 10);
+    PeerLoad& peer = state.peers["peer-" + std::to_string(hosts)];
+    peer.at = now;
+    peer.configuration_confirmed = now;
+  }
+  CHECK(ReadsOfConfiguration(state, now + 5s).wait > 0ms);
+}
+
+// Guards against a lost datagram that leaves a host with an upstream that has left.
+TEST_CASE_METHOD(KnowledgeFixture, "peerNews_oneLost_listIsRead", "[entry]") {
+  PeerLoadReceived load;
+  load.host = "host-2";
+  Do(load);
+  CHECK(All<ReadList>().empty());
+  CHECK(All<ReadConfiguration>().empty());
+  load.news = 1;
+  load.recent_news = {News(1)};
+  Do(load);
+  CHECK(All<ReadList>().empty());
+  SECTION("the next table brings it again") {
+    load.news = 3;
+    load.recent_news = {News(1), News(2), News(3)};
+    Do(load);
+    CHECK(All<ReadList>().empty());
+  }
+  SECTION("it comes no more") {
+    load.news = 3;
+    load.recent_news = {News(3)};
+    Do(load);
+    CHECK(All<ReadList>().size() == 1);
+  }
+  SECTION("nothing comes after it") {
+    load.news = 2;
+    load.recent_news.clear();
+    Do(load);
+    CHECK(All<ReadList>().size() == 1);
+  }
+  SECTION("nothing was lost") {
+    Do(load);
+    CHECK(All<ReadList>().empty());
   }
-  CHECK(readers == kListReaders);
 }
 
 }  // namespace
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -11,12 +11,20 @@
     List("engine-1", "engines");
     List("plain-1", "plain");
   }
+
+  void Hear(const std::string& host, const std::string& zone, bool is_stopping) {
+    PeerLoadReceived load;
+    load.host = host;
+    load.zone = zone;
+    load.is_stopping = is_stopping;
+    Do(load);
+  }
 };
 
 // Guards against a caller that spends its only return on a zone in which every host stops.
 TEST_CASE_METHOD(ShutdownFixture, "stream_wholeZoneStopping_returnsAfterRestart", "[entry]") {
-  Do(PeerLoadReceived{"host-2", "zone-a", true, {}});
-  Do(PeerLoadReceived{"host-3", "zone-b", false, {}});
+  Hear("host-2", "zone-a", true);
+  Hear("host-3", "zone-b", false);
   Do(ShutdownRequested{});
   Wait(1000ms);
   Arrive("/long/a", 2000, 1000);
@@ -36,7 +44,7 @@
 
 // Guards against a long answer that is begun on a host which ends before it.
 TEST_CASE_METHOD(ShutdownFixture, "stream_hostStopping_refusedAsNotRun", "[entry]") {
-  Do(PeerLoadReceived{"host-2", "zone-a", false, {}});
+  Hear("host-2", "zone-a", false);
   Do(ShutdownRequested{});
   Arrive("/long/a", 2000, 1000);
   REQUIRE(All<Refuse>().size() == 1);
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -30,30 +30,40 @@
 }
 
 TEST_CASE("peerMessages_written_readBack", "[loop]") {
-  entry::PeerLoadReceived load{"host-1", "zone-a", true, {}};
+  entry::PeerLoadReceived load;
+  load.host = "host-1";
+  load.zone = "zone-a";
+  load.is_stopping = true;
+  load.news = 7;
+  load.configuration_offset = 33;
+  load.list_age = std::chrono::milliseconds(120);
   load.load["engine-1"] = {3, 9000, 2000};
-  const auto read = DecodePeerMessage(EncodeLoad(load));
-  REQUIRE(read);
-  const auto& received = std::get<entry::PeerLoadReceived>(*read);
-  CHECK(received.host == "host-1");
-  CHECK(received.zone == "zone-a");
-  CHECK(received.is_stopping);
-  CHECK(received.load.at("engine-1").tokens == 9000);
-
   entry::UpstreamListed listed;
   listed.offset = 12;
   listed.entry.id = "engine-1";
   listed.entry.service = "engines";
+  listed.entry.endpoint = {"10.0.0.1", 80};
   listed.entry.leaving = true;
   listed.entry.born = 1790101750402;
-  const auto notice = DecodePeerMessage(EncodeNotice("host-1", listed));
-  REQUIRE(notice);
-  CHECK(std::get<entry::UpstreamListed>(*notice).entry.born == 1790101750402);
-  CHECK(std::get<entry::UpstreamListed>(*notice).source == entry::KnowledgeSource::kPeer);
-
-  const auto gone = DecodePeerMessage(EncodeNotice("host-1", entry::UpstreamUnlisted{"e", 3}));
-  REQUIRE(gone);
-  CHECK(std::get<entry::UpstreamUnlisted>(*gone).offset == 3);
+  load.recent_news = {{6, listed}, {7, entry::UpstreamUnlisted{"engine-2", 13}}};
+  const auto received = DecodeLoad(EncodeLoad(load));
+  REQUIRE(received);
+  CHECK(received->host == "host-1");
+  CHECK(received->zone == "zone-a");
+  CHECK(received->is_stopping);
+  CHECK(received->news == 7);
+  CHECK(received->configuration_offset == 33);
+  CHECK_FALSE(received->configuration_age);
+  CHECK(received->list_age == std::chrono::milliseconds(120));
+  CHECK(received->load.at("engine-1").tokens == 9000);
+  REQUIRE(received->recent_news.size() == 2);
+  const auto& first = std::get<entry::UpstreamListed>(received->recent_news[0].notice);
+  CHECK(first.entry.born == 1790101750402);
+  CHECK(first.entry.endpoint == Endpoint{"10.0.0.1", 80});
+  CHECK(first.entry.leaving);
+  CHECK(first.source == entry::KnowledgeSource::kPeer);
+  const auto& second = std::get<entry::UpstreamUnlisted>(received->recent_news[1].notice);
+  CHECK(second.offset == 13);
 }
 
 // Guards against a datagram of another sender that ends the process.
@@ -61,9 +71,11 @@
   for (const char* text :
        {"", "{", "[]", "{}", R"({"host":1,"load":[]})", R"({"host":"h","load":[[1,2,3,4]]})",
         R"({"host":"h","load":[["e",-1]]})", R"({"host":"h","load":[["e",1,-2,3]]})",
-        R"({"host":"h","listed":7})", R"({"host":"h","listed":{"port":"x"}})",
-        R"({"host":"h","unlisted":[]})"}) {
-    CHECK_FALSE(DecodePeerMessage(text));
+        R"({"host":"h","load":[],"recent":[7]})", R"({"host":"h","load":[],"recent":[[1,2]]})",
+        R"({"host":"h","load":[],"recent":[[1,2,""]]})",
+        R"({"host":"h","load":[],"recent":[[1,2,"e","s","a","x","z",1,true,0,0,0]]})",
+        R"({"host":"h","load":[],"news":"x"})"}) {
+    CHECK_FALSE(DecodeLoad(text));
   }
 }
 
