--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -29,7 +29,7 @@
 constexpr std::chrono::milliseconds kNewsLife{1200};
 constexpr std::size_t kMostNews = 24;
 /// A host whose load came within this time is alive.
-constexpr std::chrono::milliseconds kHeardOfLate{2000};
+constexpr std::chrono::milliseconds kHeardOfLate{4000};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
 /// doesn't bring it back.
 constexpr std::size_t kMostOffsets = 4096;
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -32,7 +32,7 @@
 /// Time in which a host that has ended serves again.
 constexpr std::chrono::milliseconds kRestart{1200};
 /// A host that was silent for so long may be gone.
-constexpr std::chrono::milliseconds kPeerSilence{1500};
+constexpr std::chrono::milliseconds kPeerSilence{3200};
 /// Kept of the grace, as the process ends a little before it is killed.
 constexpr std::chrono::milliseconds kGraceMargin{500};
 
@@ -198,7 +198,6 @@
                                TimerKind::kEntryHedge, TimerKind::kEntryMove}) {
     Cancel(state.timers, {kind, request.key});
   }
-  state.load_changes += request.kind == RouteKind::kStream ? 1 : 0;
   state.requests.erase(request.key);
   DispatchQueue(work);
 }
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -7,7 +7,7 @@
 namespace {
 
 /// A host whose load was not heard of for so long has died or is cut off; its work ends soon.
-constexpr std::chrono::milliseconds kPeerLapse{1500};
+constexpr std::chrono::milliseconds kPeerLapse{3200};
 
 }  // namespace
 }  // namespace internal
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -205,7 +205,6 @@
   request.last_event_at = work.now;
   work.effects.push_back(RelayEvents{request.key, event.attempt});
   if (is_first) {
-    work.state.load_changes += 1;
     work.effects.push_back(Observe{Distribution::kFirstToken, work.now - request.arrived});
     Log(work, log_events::kStreamStarted,
         fmt::format("id={} upstream={} after_ms={}", request.head.id, attempt->upstream,
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -23,7 +23,7 @@
 /// Requests that a plain upstream may queue, as a multiple of its slots.
 constexpr double kPlainOverload = 2.0;
 /// A server in another availability zone has to be freer by this share of its room.
-constexpr double kZonePenalty = 0.08;
+constexpr double kZonePenalty = 0.1;
 /// For a copy: a move between zones takes twice as long.
 constexpr double kMoveZonePenalty = 0.5;
 /// Upstreams that failed of late come after all others.
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -6,6 +6,8 @@
 namespace internal {
 namespace {
 
+constexpr std::string_view kList = "upstream list";
+constexpr std::string_view kConfiguration = "configuration";
 /// A host that was silent for so long is no reader; its load table comes every 0.5 s or sooner.
 constexpr std::chrono::milliseconds kSilence{900};
 constexpr std::chrono::milliseconds kFirstInterval{120};
@@ -51,8 +53,13 @@
   return before;
 }
 
+bool IsReader(const State& state, TimePoint now) {
+  return ReaderRank(state, internal::kList, now) <= 1 ||
+         ReaderRank(state, internal::kConfiguration, now) <= 1;
+}
+
 ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now) {
-  switch (ReaderRank(state, "configuration", now)) {
+  switch (ReaderRank(state, internal::kConfiguration, now)) {
     case 0:
       return {internal::kFirstConfigurationWait, std::chrono::milliseconds{0}};
     case 1:
@@ -75,7 +82,7 @@
   if (state.peers.empty()) {
     return internal::kSecondInterval;  // Hosts that start together have not met yet.
   }
-  switch (ReaderRank(state, "upstream list", now)) {
+  switch (ReaderRank(state, internal::kList, now)) {
     case 0:
       return internal::kFirstInterval;
     case 1:
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -30,6 +30,9 @@
 /// the read, so one that waits is old when it ends.
 [[nodiscard]] ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now);
 
+/// @brief Tells whether other hosts rely on this host's reads.
+[[nodiscard]] bool IsReader(const State& state, TimePoint now);
+
 /// @brief Least time between two reads of the upstream list.
 ///
 /// The first reader sees a notice at once and tells the others, the second one takes over. The rest
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -80,7 +80,8 @@
   std::map<std::string, double> served_tokens;
   TimePoint served_decayed_at{};
   Timers timers;
-  /// Raised when work at an engine begins or ends here; other hosts place by it.
+  /// Raised when work at an engine begins here, so that other hosts place by it at once; its end is
+  /// told with the next table.
   std::uint64_t load_changes{0};
   AttemptKey next_attempt{1};
   std::uint64_t next_copy{1};
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/readers.h"
 #include "snipeturn/loop/boot_clock.h"
 
 namespace snipeturn::loop {
@@ -23,6 +24,9 @@
 constexpr std::chrono::milliseconds kHousekeeping{100};
 /// An unchanged load table is told again after so long, within the time after which it lapses.
 constexpr std::chrono::milliseconds kLoadRepeat{500};
+/// In a large deployment hosts of other zones are told what ends only so often.
+constexpr std::size_t kSmallDeployment = 16;
+constexpr std::chrono::milliseconds kFarRepeat{1400};
 /// News are told again for so long: with two more tables at least.
 constexpr std::chrono::milliseconds kNewsRepeat{1200};
 /// A changed load table is told at once, but not more often than this; the more hosts there are the
@@ -668,19 +672,26 @@
 void EntryRuntime::TellPeers(TimePoint now) {
   const auto since = now - told_load_at_;
   const bool has_news = told_news_ != state_.news;
+  const bool has_changed = told_changes_ != state_.load_changes;
   std::chrono::microseconds least = internal::kLoadRepeat;
   if (has_news) {
     least = internal::kLeastLoadInterval;
-  } else if (told_changes_ != state_.load_changes) {
+  } else if (has_changed) {
     least = std::max<std::chrono::microseconds>(
         internal::kLeastLoadInterval, internal::kLoadIntervalPerPeer * peers_->peer_count());
   }
   if (peers_->peer_count() == 0 || since < least) {
     return;
   }
+  const bool is_for_all = has_news || has_changed || peers_->peer_count() <= internal::kSmallDeployment ||
+                          now - told_all_at_ >= internal::kFarRepeat ||
+                          entry::IsReader(state_, now);
   told_changes_ = state_.load_changes;
   told_news_ = state_.news;
   told_load_at_ = now;
+  if (is_for_all) {
+    told_all_at_ = now;
+  }
   entry::PeerLoadReceived load;
   load.host = options_.entry.host;
   load.zone = options_.entry.zone;
@@ -699,7 +710,10 @@
     load.list_age = ToMilliseconds(now - *state_.list_confirmed);
   }
   load.load = entry::OwnLoad(state_);
-  peers_->Broadcast(EncodeLoad(load));
+  peers_->Broadcast(EncodeLoad(load), [this, is_for_all](const std::string& host) {
+    const auto peer = state_.peers.find(host);
+    return is_for_all || peer == state_.peers.end() || peer->second.zone == options_.entry.zone;
+  });
 }
 
 void EntryRuntime::DoHousekeeping() {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -167,6 +167,7 @@
   std::uint64_t told_changes_{0};
   std::uint64_t told_news_{0};
   TimePoint told_load_at_{};
+  TimePoint told_all_at_{};
 };
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -210,8 +210,12 @@
   heard_.clear();
 }
 
-void PeerSocket::Broadcast(std::string_view datagram) {
+void PeerSocket::Broadcast(std::string_view datagram,
+                           const std::function<bool(const std::string&)>& is_wanted) {
   for (const auto& [name, endpoint] : peers_) {
+    if (!is_wanted(name)) {
+      continue;
+    }
     boost::system::error_code error;
     const auto address = boost::asio::ip::make_address(endpoint.address, error);
     if (error) {
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -44,7 +44,11 @@
 
   [[nodiscard]] std::size_t peer_count() const noexcept { return peers_.size(); }
 
-  void Broadcast(std::string_view datagram);
+  /// @brief Sends a datagram to the other hosts.
+  /// @param datagram The bytes.
+  /// @param is_wanted Chooses hosts by name.
+  void Broadcast(std::string_view datagram,
+                 const std::function<bool(const std::string& host)>& is_wanted);
 
  private:
   void AwaitReadable();
