--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -31,6 +31,7 @@
   kEntryHedge,
   kEntryMove,
   kEntryUpstream,
+  kEntryReports,
   kEntryShutdown,
 };
 
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -92,6 +92,12 @@
   std::string handle;
 };
 
+/// Ask an upstream for its report.
+struct ReadReport {
+  UpstreamId upstream;
+  Endpoint endpoint;
+};
+
 /// Read the upstream list now: news of another host were lost.
 struct ReadList {};
 
@@ -115,6 +121,7 @@
                             Refuse,
                             StartCopy,
                             DropCopy,
+                            ReadReport,
                             ReadList,
                             ReadConfiguration,
                             ForgetUpstream,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -121,6 +121,14 @@
   KnowledgeSource source{KnowledgeSource::kStore};
 };
 
+/// An upstream's own report says that it leaves.
+struct UpstreamReported {
+  UpstreamId id;
+  /// Start of the life that reports, 0 when it doesn't say.
+  std::int64_t born{0};
+  bool leaving{false};
+};
+
 /// A read of the upstream list that missed nothing.
 struct ListConfirmed {
   /// When the read began.
@@ -195,6 +203,7 @@
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
+                           UpstreamReported,
                            ListConfirmed,
                            StoreConfirmed,
                            StoreFailed,
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -14,6 +14,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
+#include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -28,6 +29,8 @@
 /// News are told again for so long, at least with the next two load tables, and at most so many.
 constexpr std::chrono::milliseconds kNewsLife{1200};
 constexpr std::size_t kMostNews = 24;
+/// Between two reports of an engine: a reclaimed one has about two seconds left.
+constexpr std::chrono::milliseconds kReportInterval{300};
 /// A host whose load came within this time is alive.
 constexpr std::chrono::milliseconds kHeardOfLate{4000};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
@@ -293,6 +296,39 @@
   DispatchQueue(work);
 }
 
+void TakeReport(Work& work, const UpstreamReported& event) {
+  const auto found = work.state.upstreams.find(event.id);
+  if (found == work.state.upstreams.end() || !event.leaving) {
+    return;
+  }
+  const std::int64_t born = found->second.entry.born;
+  const bool is_other_life = event.born != 0 && born != 0 && event.born != born;
+  if (!is_other_life) {
+    StartLeaving(work, found->second, "reported");
+  }
+}
+
+void ReadReports(Work& work) {
+  State& state = work.state;
+  Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now + kReportInterval);
+  if (IsListKnown(state, work.now)) {
+    return;
+  }
+  std::set<UpstreamId> asked;
+  for (const auto& [key, request] : state.requests) {
+    if (request.kind != RouteKind::kStream) {
+      continue;
+    }
+    for (const Attempt& attempt : request.attempts) {
+      const auto upstream = state.upstreams.find(attempt.upstream);
+      if (upstream != state.upstreams.end() && upstream->second.phase != UpstreamPhase::kLeaving &&
+          asked.insert(attempt.upstream).second) {
+        work.effects.push_back(ReadReport{attempt.upstream, upstream->second.entry.endpoint});
+      }
+    }
+  }
+}
+
 void ReviewUpstreams(Work& work) {
   State& state = work.state;
   const std::set<UpstreamId> used = UpstreamsInUse(state);
--- a/src/snipeturn/entry/knowledge.h
+++ b/src/snipeturn/entry/knowledge.h
@@ -22,6 +22,13 @@
 /// @brief Takes another host's load, its news and how far it is; after a gap the list is read.
 void TakePeerLoad(Work& work, const PeerLoadReceived& event);
 
+/// @brief Takes an upstream's own report.
+void TakeReport(Work& work, const UpstreamReported& event);
+
+/// @brief Asks the engines that run this host's generations for their reports, while neither this
+///     host nor one that it hears can read the list: a notice to leave is seen there only then.
+void ReadReports(Work& work);
+
 /// @brief A lapsed upstream's time is over, or a gone one's work has ended.
 void ReviewUpstreams(Work& work);
 
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -1,5 +1,7 @@
 #include "snipeturn/entry/readers.h"
 
+#include <algorithm>
+
 #include "snipeturn/base/hash.h"
 
 namespace snipeturn::entry {
@@ -58,6 +60,15 @@
          ReaderRank(state, internal::kConfiguration, now) <= 1;
 }
 
+bool IsListKnown(const State& state, TimePoint now) {
+  if (state.list_confirmed && now - *state.list_confirmed < internal::kFreshList) {
+    return true;
+  }
+  return std::any_of(state.peers.begin(), state.peers.end(), [now](const auto& entry) {
+    return internal::IsFresh(entry.second, entry.second.list_confirmed, internal::kFreshList, now);
+  });
+}
+
 ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now) {
   switch (ReaderRank(state, internal::kConfiguration, now)) {
     case 0:
@@ -90,10 +101,8 @@
     default:
       break;
   }
-  for (const auto& [host, peer] : state.peers) {
-    if (internal::IsFresh(peer, peer.list_confirmed, internal::kFreshList, now)) {
-      return internal::kRelaxedInterval;
-    }
+  if (IsListKnown(state, now)) {
+    return internal::kRelaxedInterval;
   }
   return std::chrono::milliseconds(static_cast<std::int64_t>(
       static_cast<double>(state.options.bounds.drain.count()) * internal::kOwnReadShare));
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -33,6 +33,9 @@
 /// @brief Tells whether other hosts rely on this host's reads.
 [[nodiscard]] bool IsReader(const State& state, TimePoint now);
 
+/// @brief Tells whether this host, or one that it hears, has read the upstream list of late.
+[[nodiscard]] bool IsListKnown(const State& state, TimePoint now);
+
 /// @brief Least time between two reads of the upstream list.
 ///
 /// The first reader sees a notice at once and tells the others, the second one takes over. The rest
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -43,6 +43,10 @@
     ReviewUpstreams(work);
     return;
   }
+  if (key.kind == TimerKind::kEntryReports) {
+    ReadReports(work);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckStop(work);
     return;
@@ -93,6 +97,9 @@
           AdoptEvacuation(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListed>) {
           ListUpstream(work, item);
+          if (!IsScheduled(state.timers, {TimerKind::kEntryReports, 0})) {
+            Schedule(state.timers, {TimerKind::kEntryReports, 0}, work.now);
+          }
         } else if constexpr (std::is_same_v<Item, UpstreamUnlisted>) {
           UnlistUpstream(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListRead>) {
@@ -109,6 +116,8 @@
           }
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
           TakePeerLoad(work, item);
+        } else if constexpr (std::is_same_v<Item, UpstreamReported>) {
+          TakeReport(work, item);
         } else if constexpr (std::is_same_v<Item, ListConfirmed>) {
           state.list_confirmed = item.began;
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -42,6 +42,7 @@
 /// Longest copy: the time that an engine has after its notice.
 constexpr std::chrono::milliseconds kCopyTimeout{2500};
 constexpr std::chrono::milliseconds kDropTimeout{1000};
+constexpr std::chrono::milliseconds kReportTimeout{500};
 /// Last bytes to callers before the process ends.
 constexpr std::chrono::milliseconds kLinger{150};
 /// Idle time up to which a connection carries a request that must not run twice: one that the other
@@ -316,6 +317,8 @@
           StartCopy(item);
         } else if constexpr (std::is_same_v<Item, entry::DropCopy>) {
           DropCopy(item);
+        } else if constexpr (std::is_same_v<Item, entry::ReadReport>) {
+          ReadReport(item);
         } else if constexpr (std::is_same_v<Item, entry::ReadList>) {
           if (on_list_wanted_) {
             on_list_wanted_();
@@ -630,6 +633,20 @@
        });
 }
 
+void EntryRuntime::ReadReport(const entry::ReadReport& call) {
+  Call(call.upstream, call.endpoint, wire_.encode_report_call(call), internal::kReportTimeout,
+       [this, id = call.upstream](ExchangeResult result, int status, const std::string& body) {
+         // An upstream that doesn't answer is judged by its requests.
+         if (result != ExchangeResult::kComplete) {
+           return;
+         }
+         if (auto report = wire_.decode_report(status, body)) {
+           report->id = id;
+           Apply(std::move(*report));
+         }
+       });
+}
+
 void EntryRuntime::Call(const entry::UpstreamId& upstream,
                         const Endpoint& endpoint,
                         std::string bytes,
@@ -683,9 +700,9 @@
   if (peers_->peer_count() == 0 || since < least) {
     return;
   }
-  const bool is_for_all = has_news || has_changed || peers_->peer_count() <= internal::kSmallDeployment ||
-                          now - told_all_at_ >= internal::kFarRepeat ||
-                          entry::IsReader(state_, now);
+  const bool is_for_all =
+      has_news || has_changed || peers_->peer_count() <= internal::kSmallDeployment ||
+      now - told_all_at_ >= internal::kFarRepeat || entry::IsReader(state_, now);
   told_changes_ = state_.load_changes;
   told_news_ = state_.news;
   told_load_at_ = now;
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -125,6 +125,7 @@
   void BreakAnswer(entry::RequestKey key);
   void StartCopy(const entry::StartCopy& copy);
   void DropCopy(const entry::DropCopy& drop);
+  void ReadReport(const entry::ReadReport& call);
   /// Makes a call at an upstream that is no caller's request.
   void Call(const entry::UpstreamId& upstream,
             const Endpoint& endpoint,
--- a/src/snipeturn/loop/wire.h
+++ b/src/snipeturn/loop/wire.h
@@ -41,6 +41,9 @@
   std::string (*encode_copy)(const entry::StartCopy& copy, std::string_view run);
   entry::CopyEnded (*decode_copy)(int status, std::string_view body);
   std::string (*encode_drop_copy)(const entry::DropCopy& drop);
+  std::string (*encode_report_call)(const entry::ReadReport& call);
+  /// Nothing when the report can't be read.
+  std::optional<entry::UpstreamReported> (*decode_report)(int status, std::string_view body);
   bool (*is_ready_question)(const HttpHead& head);
 };
 
--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <cassert>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -252,6 +253,15 @@
         BeginDrain(state_.requests, now_);
         break;
       }
+      case TimerKind::kEntryFinalAnswer:
+      case TimerKind::kEntryHold:
+      case TimerKind::kEntryHedge:
+      case TimerKind::kEntryMove:
+      case TimerKind::kEntryUpstream:
+      case TimerKind::kEntryReports:
+      case TimerKind::kEntryShutdown:
+        assert(false && "a timer of the entry path's reducer");
+        break;
     }
   }
 
--- a/test/platform/entry_wire_test.cc
+++ b/test/platform/entry_wire_test.cc
@@ -140,6 +140,17 @@
   CHECK(wire.decode_copy(500, "").status == CopyStatus::kNoAnswer);
 }
 
+TEST_CASE_METHOD(WireFixture, "report_leavingEngine_toldApart", "[platform]") {
+  const auto report = wire.decode_report(200, R"({"born":7,"state":"draining","runs":[]})");
+  REQUIRE(report);
+  CHECK(report->leaving);
+  CHECK(report->born == 7);
+  CHECK(wire.decode_report(200, R"({"leaves_ms":900})")->leaving);
+  CHECK_FALSE(wire.decode_report(200, R"({"state":"ready"})")->leaving);
+  CHECK_FALSE(wire.decode_report(200, "["));
+  CHECK_FALSE(wire.decode_report(503, "{}"));
+}
+
 constexpr char kSettings[] = R"({"metrics_port":9464,"node":{"node_name":"f-1","zone":"z",
   "ip":"10.1.0.19","internal_ports":[7200,7215],"listen":{"front":"10.1.0.19:8740","ready":"10.1.0.19:8749"},
   "bounds":{"revoke_ms":4000,"grace_s":8,"budget_window_s":10,"retry_budget_ratio":0.2,"fail_closed":true},
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -117,6 +117,32 @@
   CHECK(All<Send>()[0].upstream == "engine-1");
 }
 
+// Guards against generations that die with an engine whose notice stands in a store that is away.
+TEST_CASE_METHOD(MigrationFixture, "stream_storeAwayAndEngineReportsLeaving_isMoved", "[entry]") {
+  Do(ListConfirmed{now});
+  Wait(1000ms);
+  CHECK(All<ReadReport>().empty());
+  Wait(1000ms);
+  REQUIRE_FALSE(All<ReadReport>().empty());
+  CHECK(All<ReadReport>()[0].upstream == "engine-1");
+  Do(UpstreamReported{"engine-1", 999, true});
+  CHECK(All<StartCopy>().empty());  // Another life of the engine.
+  Do(UpstreamReported{"engine-1", 1000, true});
+  CHECK(All<StartCopy>().size() == 1);
+}
+
+// Guards against probes that cost engines work while the list tells all.
+TEST_CASE_METHOD(MigrationFixture, "stream_peerReadsList_noReports", "[entry]") {
+  PeerLoadReceived load;
+  load.host = "host-2";
+  for (int round = 0; round < 10; ++round) {
+    load.list_age = 100ms;
+    Do(load);
+    Wait(400ms);
+    CHECK(All<ReadReport>().empty());
+  }
+}
+
 // Guards against a copy that holds memory for nobody after its caller has left.
 TEST_CASE_METHOD(MigrationFixture, "move_callerLeaves_copyIsDropped", "[entry]") {
   const StartCopy first = Notice();
