--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -86,6 +87,23 @@
   kNoAnswer,
 };
 
+/// @brief Name of a copy's end, for log lines.
+[[nodiscard]] constexpr std::string_view ToString(CopyStatus status) noexcept {
+  switch (status) {
+    case CopyStatus::kCopied:
+      return "copied";
+    case CopyStatus::kUnknownRun:
+      return "unknown_run";
+    case CopyStatus::kBusy:
+      return "busy";
+    case CopyStatus::kNoRoom:
+      return "no_room";
+    case CopyStatus::kNoAnswer:
+      return "no_answer";
+  }
+  return "";
+}
+
 struct CopyEnded {
   RequestKey request{0};
   std::uint64_t copy{0};
@@ -183,6 +201,8 @@
   /// Age of its last read of the upstream list; nothing before the first.
   std::optional<std::chrono::milliseconds> list_age;
   LoadTable load;
+  /// Upstreams to which its connections failed in the last moments.
+  std::vector<UpstreamId> unreached;
 };
 
 struct OptionsChanged {
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -31,6 +31,11 @@
 constexpr std::size_t kMostNews = 24;
 /// Between two reports of an engine: a reclaimed one has about two seconds left.
 constexpr std::chrono::milliseconds kReportInterval{300};
+/// A read of another host that is so young shows that the store is back.
+constexpr std::chrono::milliseconds kFreshOfLate{1000};
+/// An own answer of this age outweighs another host's failed connection.
+constexpr std::chrono::milliseconds kReachedOfLate{400};
+constexpr std::chrono::milliseconds kAvoidUnreached{700};
 /// A host whose load came within this time is alive.
 constexpr std::chrono::milliseconds kHeardOfLate{4000};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
@@ -256,6 +261,19 @@
       news.notice);
 }
 
+/// Another host's connections to an upstream fail: this one tries others first, unless it has just
+/// had an answer from there.
+static void AvoidUnreached(Work& work, const UpstreamId& id) {
+  const auto found = work.state.upstreams.find(id);
+  if (found == work.state.upstreams.end()) {
+    return;
+  }
+  Upstream& upstream = found->second;
+  if (!upstream.reached_at || work.now - *upstream.reached_at > kReachedOfLate) {
+    upstream.avoid_until = std::max(upstream.avoid_until, work.now + kAvoidUnreached);
+  }
+}
+
 void TakePeerLoad(Work& work, const PeerLoadReceived& event) {
   State& state = work.state;
   PeerLoad& peer = state.peers[event.host];
@@ -282,6 +300,9 @@
                                      ? std::optional<TimePoint>(work.now - *event.configuration_age)
                                      : std::nullopt;
   peer.load = event.load;
+  for (const UpstreamId& id : event.unreached) {
+    AvoidUnreached(work, id);
+  }
   // A host that was never heard before counts for the shares at once.
   const auto heard = std::count_if(
       state.peers.begin(), state.peers.end(),
@@ -290,9 +311,14 @@
   if (has_gap) {
     work.effects.push_back(ReadList{});
   }
-  if (event.configuration_offset > state.store.offset) {
+  const bool reaches_store = event.configuration_age && *event.configuration_age < kFreshOfLate;
+  if (event.configuration_offset > state.store.offset ||
+      (!state.store.is_reachable && reaches_store)) {
     work.effects.push_back(ReadConfiguration{});
   }
+  if (!IsListKnown(state, work.now) && event.list_age && *event.list_age < kFreshOfLate) {
+    work.effects.push_back(ReadList{});
+  }
   DispatchQueue(work);
 }
 
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -9,6 +9,9 @@
 /// A host whose load was not heard of for so long has died or is cut off; its work ends soon.
 constexpr std::chrono::milliseconds kPeerLapse{3200};
 
+/// How long a failed connection is told to other hosts; by then a dead upstream's entry is gone.
+constexpr std::chrono::milliseconds kUnreachedLife{1000};
+
 }  // namespace
 }  // namespace internal
 
@@ -41,6 +44,16 @@
   return table;
 }
 
+std::vector<UpstreamId> UnreachedUpstreams(const State& state, TimePoint now) {
+  std::vector<UpstreamId> unreached;
+  for (const auto& [id, upstream] : state.upstreams) {
+    if (upstream.unreached_at && now - *upstream.unreached_at < internal::kUnreachedLife) {
+      unreached.push_back(id);
+    }
+  }
+  return unreached;
+}
+
 LoadTable TotalLoad(const State& state, TimePoint now) {
   LoadTable table = OwnLoad(state);
   for (const auto& [host, peer] : state.peers) {
--- a/src/snipeturn/entry/load.h
+++ b/src/snipeturn/entry/load.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <vector>
+
 #include "snipeturn/entry/state.h"
 
 namespace snipeturn::entry {
@@ -15,6 +17,9 @@
 /// @return The table.
 [[nodiscard]] LoadTable TotalLoad(const State& state, TimePoint now);
 
+/// @brief Upstreams to which this host's connections failed in the last moments.
+[[nodiscard]] std::vector<UpstreamId> UnreachedUpstreams(const State& state, TimePoint now);
+
 /// @brief Engine memory that a request is expected to need.
 /// @param request The request.
 /// @return Tokens; 0 for requests to plain services.
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -224,7 +224,7 @@
       fmt::format("id={} source={} target={} round={} final={} status={} took_ms={} copied={} "
                   "events={}",
                   request.head.id, move.source, move.target, move.rounds,
-                  move.step == MoveStep::kStopping, static_cast<int>(event.status), took.count(),
+                  move.step == MoveStep::kStopping, ToString(event.status), took.count(),
                   event.events, request.events));
   move.copy = 0;
   if (event.status == CopyStatus::kBusy) {
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -18,12 +18,16 @@
 constexpr std::chrono::milliseconds kAvoidBase{250};
 constexpr std::chrono::milliseconds kAvoidLimit{4000};
 constexpr int kMostDoublings = 4;
+/// A failed connection is told at once if the last one was so long ago.
+constexpr std::chrono::milliseconds kUnreachedNews{500};
 /// Weight of the newest answer in the share of failures.
 constexpr double kFailureWeight = 0.08;
 /// Weight of the newest sample in the mean time between events.
 constexpr double kGapWeight = 0.05;
 /// Sends of one request, whatever became of them: a bound on a loop over upstreams that refuse.
 constexpr int kMostSends = 4;
+/// Connections that fail at once cost a millisecond each; when a zone goes many upstreams fail so.
+constexpr int kMostUnsent = 10;
 /// Retry-After of a request that no upstream took.
 constexpr std::chrono::milliseconds kNotExecutedRetry{300};
 
@@ -71,6 +75,14 @@
     upstream.phase_since = work.now;
     return;
   }
+  if (event.result == AttemptResult::kUnsent) {
+    if (!upstream.unreached_at || work.now - *upstream.unreached_at > kUnreachedNews) {
+      work.state.load_changes += 1;  // Other hosts are told at once.
+    }
+    upstream.unreached_at = work.now;
+  } else {
+    upstream.reached_at = work.now;
+  }
   if (!has_failed) {
     upstream.failures = 0;
     return;
@@ -96,7 +108,8 @@
 
 /// Sends a request again, if it may be. True when it was sent or waits.
 bool Repeat(Work& work, Request& request, AttemptResult result) {
-  const bool is_allowed = DidNotRun(result) ? request.sends < kMostSends
+  const int most_sends = result == AttemptResult::kUnsent ? kMostUnsent : kMostSends;
+  const bool is_allowed = DidNotRun(result) ? request.sends < most_sends
                                             : request.kind == RouteKind::kIdempotent &&
                                                   request.runs < request.max_upstreams &&
                                                   request.sends < kMostSends;
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -66,6 +66,9 @@
   /// Failures in a row, as seen by this host's requests.
   int failures{0};
   TimePoint avoid_until{};
+  /// Last failed connection, and last answer, of this host.
+  std::optional<TimePoint> unreached_at;
+  std::optional<TimePoint> reached_at;
   /// Moving share of failed answers, 0 to 1.
   double failure_share{0};
   /// Moving mean of the time between two events of a stream, seconds; 0 before the first sample.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -727,6 +727,7 @@
     load.list_age = ToMilliseconds(now - *state_.list_confirmed);
   }
   load.load = entry::OwnLoad(state_);
+  load.unreached = entry::UnreachedUpstreams(state_, now);
   peers_->Broadcast(EncodeLoad(load), [this, is_for_all](const std::string& host) {
     const auto peer = state_.peers.find(host);
     return is_for_all || peer == state_.peers.end() || peer->second.zone == options_.entry.zone;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -101,6 +101,9 @@
     }
     received.recent_news.push_back(std::move(*news));
   }
+  for (const Json::Value& id : root["unreached"]) {
+    received.unreached.push_back(id.asString());
+  }
   for (const Json::Value& row : root["load"]) {
     if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
       return std::nullopt;
@@ -119,6 +122,9 @@
   root["zone"] = load.zone;
   root["stopping"] = load.is_stopping;
   root["news"] = Json::UInt64{load.news};
+  for (const entry::UpstreamId& id : load.unreached) {
+    root["unreached"].append(id);
+  }
   root["recent"] = Json::Value(Json::arrayValue);
   for (const entry::PeerNews& news : load.recent_news) {
     root["recent"].append(internal::EncodeNews(news));
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -226,6 +226,22 @@
   CHECK(All<ReadConfiguration>().size() == 1);
 }
 
+// Guards against hosts that stay without keys after the store is back, or all ask it all the time.
+TEST_CASE_METHOD(KnowledgeFixture, "storeAway_otherHostReadsAgain_isRead", "[entry]") {
+  PeerLoadReceived load;
+  load.host = "host-2";
+  load.configuration_age = 100ms;
+  Do(load);
+  CHECK(All<ReadConfiguration>().empty());
+  Do(StoreFailed{"down"});
+  load.configuration_age = 3s;
+  Do(load);
+  CHECK(All<ReadConfiguration>().empty());
+  load.configuration_age = 100ms;
+  Do(load);
+  CHECK(All<ReadConfiguration>().size() == 1);
+}
+
 // Guards against keys that lapse, and a host that counts as not ready, while all is well: the age
 // of a confirmation is up to the interval, or twice the wait.
 TEST_CASE_METHOD(KnowledgeFixture, "configurationReads_anyRank_keepHostReady", "[entry]") {
--- a/test/snipeturn/entry/outcome_test.cc
+++ b/test/snipeturn/entry/outcome_test.cc
@@ -111,6 +111,34 @@
   CHECK(OwnLoad(state).empty());
 }
 
+// Guards against each of many hosts finding out by itself, request by request, that a zone is gone.
+TEST_CASE_METHOD(OutcomeFixture, "upstream_unreachedByOtherHost_comesLast", "[entry]") {
+  PeerLoadReceived load;
+  load.host = "host-2";
+  load.unreached = {"plain-1"};
+  Do(load);
+  for (int count = 0; count < 4; ++count) {
+    Arrive("/book/a");
+    CHECK(Only().upstream == "plain-2");
+  }
+  Arrive("/book/a");
+  End(Only().attempt, AttemptResult::kUnsent);
+  CHECK(UnreachedUpstreams(state, now) == std::vector<UpstreamId>{"plain-2"});
+  CHECK(UnreachedUpstreams(state, now + 2s).empty());
+}
+
+// Guards against one cut off host that keeps all others from an upstream.
+TEST_CASE_METHOD(OutcomeFixture, "upstream_answersHere_otherHostsFailuresDontCount", "[entry]") {
+  Arrive("/book/a");
+  const std::string answering = Only().upstream;
+  End(Only().attempt, AttemptResult::kAnswered, 200);
+  PeerLoadReceived load;
+  load.host = "host-2";
+  load.unreached = {answering};
+  Do(load);
+  CHECK(state.upstreams.at(answering).avoid_until <= now);
+}
+
 // Guards against repeats that add up over hosts when an upstream fails all requests.
 TEST_CASE_METHOD(OutcomeFixture, "repeats_budgetSpent_answerRelayed", "[entry]") {
   state.options.bounds.retry_slack = 10;
--- /dev/null
+++ b/test/soak/fakes.py
@@ -0,0 +1,279 @@
+"""Small stand-ins of the platform for the soak: its store, engines, plain services and a faulty proxy."""
+
+import asyncio
+import base64
+import json
+import struct
+import time
+
+ADDRESS = "127.0.0.1"
+
+
+async def read_head(reader):
+    """Reads a request's head; returns (method, target, fields) or None at the connection's end."""
+    try:
+        text = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError):
+        return None
+    lines = text.split("\r\n")
+    method, target, _ = lines[0].split(" ", 2)
+    fields = {}
+    for line in lines[1:]:
+        name, colon, value = line.partition(":")
+        if colon:
+            fields[name.strip().lower()] = value.strip()
+    return method, target, fields
+
+
+def answer(status, body=b"", fields=()):
+    head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in fields)
+    return head.encode() + b"\r\n" + body
+
+
+class Server:
+    """A TCP server of the loop; each connection runs `serve`."""
+
+    async def start(self, port=0):
+        self.writers = set()
+        self.server = await asyncio.start_server(self._run, ADDRESS, port, limit=1 << 20)
+        self.port = self.server.sockets[0].getsockname()[1]
+        return self
+
+    async def _run(self, reader, writer):
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # The other end has gone, or the soak ends.
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    def kill(self):
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
+class Store(Server):
+    """The platform's log with keyed topics; `mode` makes it fail."""
+
+    def __init__(self):
+        self.records = {}
+        self.first = {}
+        self.mode = "up"
+        self.changed = asyncio.Condition()
+
+    def now(self, topic):
+        return len(self.records.setdefault(topic, []))
+
+    async def put(self, topic, key, value):
+        self.records.setdefault(topic, []).append((key, value))
+        async with self.changed:
+            self.changed.notify_all()
+
+    def forget_history(self):
+        for topic, records in self.records.items():
+            self.first[topic] = len(records)
+
+    async def serve(self, reader, writer):
+        while (head := await read_head(reader)) is not None:
+            method, target, fields = head
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
+            if self.mode == "silent":
+                await asyncio.sleep(30)
+                return
+            if self.mode == "reset":
+                writer.transport.abort()
+                return
+            if self.mode == "slow":
+                await asyncio.sleep(0.3)
+            if self.mode == "busy":
+                writer.write(answer(503))
+            else:
+                writer.write(await self.handle(method, target, body))
+            await writer.drain()
+
+    async def handle(self, method, target, body):
+        path, _, query = target.partition("?")
+        arguments = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        topic = arguments.get("topic", "")
+        records = self.records.setdefault(topic, [])
+        if path == "/api/log-append":
+            length = struct.unpack(">I", body[:4])[0]
+            content = body[4:4 + length]
+            key = content[1:1 + content[0]].decode()
+            await self.put(topic, key, content[1 + content[0]:])
+            return answer(200, json.dumps({"offset": len(records) - 1, "end": len(records)}).encode())
+        if path == "/api/log-newest":
+            newest = {}
+            for offset, (key, value) in enumerate(records):
+                newest[key] = (value, offset)
+            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                     for key, (value, offset) in newest.items() if value]
+            return answer(200, json.dumps(
+                {"items": items, "has_more": False, "end": len(records)}).encode())
+        if path == "/api/log-read":
+            start = int(arguments["from"])
+            if start < self.first.get(topic, 0):
+                return answer(410, json.dumps({"first": self.first[topic]}).encode())
+            if len(records) <= start and int(arguments.get("wait_ms", 0)) > 0:
+                try:
+                    async with self.changed:
+                        await asyncio.wait_for(
+                            self.changed.wait_for(lambda: len(records) > start),
+                            int(arguments["wait_ms"]) / 1000)
+                except asyncio.TimeoutError:
+                    pass
+            data = struct.pack(">QQ", len(records), self.first.get(topic, 0))
+            for key, value in records[start:]:
+                content = bytes([len(key)]) + key.encode() + value
+                data += struct.pack(">I", len(content)) + content
+            return answer(200, data)
+        return answer(404)
+
+
+class Upstream(Server):
+    """An engine or a plain service. Runs are recorded in `world.runs`: request id -> list of runs."""
+
+    def __init__(self, world, name, service, is_engine):
+        self.world, self.name, self.service, self.is_engine = world, name, service, is_engine
+        self.born = int(time.time() * 1000)
+        self.sequence = 0
+        self.leaving = False
+        self.left_at = None
+        self.fault = None
+        self.generations = {}
+
+    def entry(self):
+        self.sequence += 1
+        return json.dumps({
+            "service": self.service, "address": f"{ADDRESS}:{self.proxy.port}", "zone": "z",
+            "version": "v1", "slots": 24 if self.is_engine else 6, "born": self.born,
+            "state": "draining" if self.leaving else "ready", "cold_left_ms": 0,
+            "sequence": self.sequence}).encode()
+
+    async def serve(self, reader, writer):
+        while (head := await read_head(reader)) is not None:
+            method, target, fields = head
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
+            if target.startswith("/api/"):
+                writer.write(self.control(method, target, body))
+            elif fields.get("expect-instance") != self.name:
+                writer.write(answer(421, b"", [("Instance-Id", self.name)]))
+            elif self.is_engine:
+                if not await self.generate(writer, fields):
+                    return
+            elif not await self.work(writer, fields, body):
+                return
+            await writer.drain()
+
+    def record(self, request):
+        self.world.runs.setdefault(request, []).append((self.name, time.monotonic()))
+        if self.left_at and time.monotonic() > self.left_at + self.world.drain_s + 0.5:
+            self.world.fail(f"DRAIN: {request} at {self.name} long after it said that it leaves")
+
+    async def work(self, writer, fields, body):
+        request = fields["request-id"]
+        if self.fault == "shed":
+            writer.write(answer(503, b"", [("Not-Executed", "1"), ("Request-Id", request)]))
+            return True
+        self.record(request)
+        await asyncio.sleep(0.02)
+        if self.fault == "lose":
+            writer.transport.abort()
+            return False
+        if self.fault == "hang":
+            await asyncio.sleep(3)
+        reply = answer(200, f"{request}:{len(body)}".encode(),
+                       [("Request-Id", request), ("Response-Stamp", self.name)])
+        writer.write(reply)
+        if self.fault == "extra":
+            writer.write(answer(200, b"other", [("Request-Id", "other"), ("Response-Stamp", "x")]))
+        return True
+
+    async def generate(self, writer, fields):
+        request = fields["request-id"]
+        if "kv-from" in fields:
+            handle = fields["kv-from"].partition("/")[2]
+            generation = self.world.copies.pop(handle, None)
+            if generation is None or generation["request"] != request:
+                writer.write(answer(503, b"", [("Not-Executed", "1"), ("Request-Id", request)]))
+                return True
+            event = int(fields.get("last-event-id", 0))
+        else:
+            self.record(request)
+            generation = {"request": request, "id": f"{request}@{self.name}",
+                          "length": int(fields["token-counts"].split(",")[1]) // 4}
+            event = 0
+        generation["stopped"] = False
+        self.generations[request] = generation
+        await asyncio.sleep(0.03)
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                     b"Transfer-Encoding: chunked\r\nRequest-Id: " + request.encode() +
+                     b"\r\nResponse-Stamp: " + self.name.encode() + b"\r\n\r\n")
+        while event < generation["length"]:
+            if generation["stopped"]:
+                return False
+            event += 1
+            generation["events"] = event
+            data = f"id: {event}\ndata: {generation['id']}\n\n".encode()
+            writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        writer.write(b"0\r\n\r\n")
+        self.generations.pop(request, None)
+        return True
+
+    def control(self, method, target, body):
+        if target == "/api/report":
+            return answer(200, json.dumps({"born": self.born, "state":
+                                           "draining" if self.leaving else "ready"}).encode())
+        if target != "/api/kv-move":
+            return answer(200)
+        call = json.loads(body)
+        generation = self.generations.get(call["id"])
+        if generation is None:
+            return answer(404)
+        handle = f"h-{generation['id']}"
+        self.world.copies[handle] = generation if call["last"] else dict(generation)
+        if call["last"]:
+            generation["stopped"] = True
+            self.generations.pop(call["id"], None)
+        return answer(200, json.dumps(
+            {"handle": handle, "created_rev": generation.get("events", 0)}).encode())
+
+
+class Proxy(Server):
+    """Forwards connections to a port; `mode` delays, silences or resets them."""
+
+    def __init__(self, target):
+        self.target = target
+        self.mode = "pass"
+
+    async def serve(self, reader, writer):
+        try:
+            far_reader, far_writer = await asyncio.open_connection(ADDRESS, self.target)
+        except OSError:
+            writer.transport.abort()
+            return
+        try:
+            await asyncio.gather(self.pump(reader, far_writer, "up"),
+                                 self.pump(far_reader, writer, "down"))
+        finally:
+            far_writer.close()
+
+    async def pump(self, reader, writer, direction):
+        while data := await reader.read(65536):
+            if self.mode == "delay":
+                await asyncio.sleep(0.05)
+            while self.mode == "silent" or self.mode == f"cut_{direction}":
+                await asyncio.sleep(0.05)
+            if self.mode == "reset":
+                writer.transport.abort()
+                return
+            writer.write(data)
+            await writer.drain()
+        if not writer.is_closing():
+            writer.write_eof()
--- /dev/null
+++ b/test/soak/soak.py
@@ -0,0 +1,367 @@
+"""Randomized soak of snipeturn_entry: real processes, faults from outside, promises checked by what
+callers and upstreams see.
+
+    python3 test/soak/soak.py --build build [--seeds 1,2,3] [--seconds 12]
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(__file__))
+from fakes import ADDRESS, Proxy, Store, Upstream  # noqa: E402
+
+KEYS = ("key-1", "key-2")
+REVOKE_S = 3.0
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind((ADDRESS, 0))
+        return probe.getsockname()[1]
+
+
+class Daemon:
+    """A process of snipeturn_entry on ports of its own."""
+
+    def __init__(self, world, name):
+        self.world, self.name, self.process = world, name, None
+        self.front, self.ready = free_port(), free_port()
+        self.stopping = False
+        self.path = os.path.join(world.folder, f"{name}.json")
+        with open(self.path, "w") as file:
+            json.dump({"node": {
+                "node_name": name, "zone": "z", "ip": ADDRESS,
+                "internal_ports": [free_port(socket.SOCK_DGRAM)],
+                "listen": {"front": f"{ADDRESS}:{self.front}", "ready": f"{ADDRESS}:{self.ready}"},
+                "bounds": {"revoke_ms": int(REVOKE_S * 1000), "grace_s": 4, "fail_closed": True,
+                           "drain_ms": int(world.drain_s * 1000), "budget_slack": 50},
+                "platform": {"address": f"{ADDRESS}:{world.store_proxy.port}"}}}, file)
+
+    async def start(self):
+        self.stopping = False
+        log = open(os.path.join(self.world.folder, f"{self.name}.log"), "a")
+        self.process = await asyncio.create_subprocess_exec(
+            self.world.program, f"--settings={self.path}", stdout=log, stderr=log)
+
+    def signal(self, number):
+        if self.process and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def restart(self, number):
+        """Ends the process by a signal, waits for its end and starts it again."""
+        self.stopping = number == signal.SIGTERM
+        self.signal(number)
+        try:
+            await asyncio.wait_for(self.process.wait(), 8)
+        except asyncio.TimeoutError:
+            if self.stopping:
+                self.world.fail(f"STOP: {self.name} did not end within 8 s of SIGTERM")
+            self.signal(signal.SIGKILL)
+            await self.process.wait()
+        if self.stopping and self.process.returncode != 0:
+            self.world.fail(f"STOP: {self.name} ended with {self.process.returncode}")
+        await self.start()
+
+
+class World:
+    """The platform, the daemons and what was seen."""
+
+    drain_s = 1.0
+
+    def __init__(self, program, seed, folder):
+        self.program, self.folder = program, folder
+        self.random = random.Random(seed)
+        self.runs, self.copies, self.failures = {}, {}, []
+        self.refused, self.idempotent, self.counts = set(), set(), {}
+        self.version, self.keys, self.revoked_at = 0, set(KEYS), {}
+        self.upstreams, self.next_upstream, self.next_request = [], 0, 0
+
+    def fail(self, text):
+        self.failures.append(text)
+
+    def count(self, what):
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    async def configure(self):
+        self.version += self.random.randint(1, 3)
+        routes = [("stream", "/s/", "engines", 1), ("unsafe", "/u/", "plain", 1),
+                  ("safe", "/r/", "plain", 2)]
+        desired = {"version": self.version, "routes": [
+            {"name": kind, "host": "soak.example", "path_prefix": prefix, "kind": kind,
+             "timeout_ms": 5000, "latency_target_ms": 500, "service": service,
+             "max_attempts": attempts} for kind, prefix, service, attempts in routes],
+            "services": [{"name": "engines", "engine": {
+                "slots": 24, "kv_cache_tokens": 40000, "moves": True, "stride": 4}},
+                {"name": "plain"}],
+            "tenants": [{"name": f"org-{key}", "api_keys": [key]} for key in sorted(self.keys)]}
+        await self.store.put("keyed.op", "config", json.dumps(desired).encode())
+
+    async def add_upstream(self, is_engine):
+        self.next_upstream += 1
+        upstream = Upstream(self, f"i-{self.next_upstream}", "engines" if is_engine else "plain",
+                            is_engine)
+        await upstream.start()
+        upstream.proxy = await Proxy(upstream.port).start()
+        self.upstreams.append(upstream)
+        await self.store.put("keyed.servers", upstream.name, upstream.entry())
+
+    async def remove_upstream(self, upstream, crash):
+        self.upstreams.remove(upstream)
+        if not crash:
+            upstream.leaving = True
+            await self.store.put("keyed.servers", upstream.name, upstream.entry())
+            if self.store.mode == "up":
+                upstream.left_at = time.monotonic()
+            await asyncio.sleep(self.drain_s + 1.0)
+        upstream.kill()
+        upstream.proxy.kill()
+        await self.store.put("keyed.servers", upstream.name, b"")
+
+    async def beat(self):
+        while True:
+            await asyncio.sleep(0.4)
+            for upstream in list(self.upstreams):
+                await self.store.put("keyed.servers", upstream.name, upstream.entry())
+
+    async def start(self, daemons):
+        self.store = await Store().start()
+        self.store_proxy = await Proxy(self.store.port).start()
+        await self.configure()
+        for is_engine in (True, True, True, False, False):
+            await self.add_upstream(is_engine)
+        self.daemons = [Daemon(self, f"host-{number}") for number in range(daemons)]
+        for daemon in self.daemons:
+            await daemon.start()
+
+    def stop(self):
+        for daemon in self.daemons:
+            daemon.signal(signal.SIGCONT)
+            daemon.signal(signal.SIGKILL)
+
+
+async def exchange(world, daemon, connection, kind):
+    """Sends one request and checks what comes back; returns the connection, if it is kept."""
+    world.next_request += 1
+    request = f"r{world.next_request}"
+    key = world.random.choice(KEYS)
+    body = b"x" * world.random.choice((0, 10, 3000))
+    prefix = {"stream": "/s/", "unsafe": "/u/", "safe": "/r/"}[kind]
+    if kind == "safe":
+        world.idempotent.add(request)
+    sent_at = time.monotonic()
+    if connection is None:
+        connection = await asyncio.wait_for(asyncio.open_connection(ADDRESS, daemon.front), 1)
+    reader, writer = connection
+    events = world.random.choice((3, 40, 200))
+    writer.write((f"POST {prefix}a HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {request}\r\n"
+                  f"Api-Key: {key}\r\nDeadline-Ms: 5000\r\nToken-Counts: 100,{events * 4}\r\n"
+                  f"Length-Hint: {events * 4}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    status = int(head.split(" ")[1])
+    fields = {line.partition(":")[0].lower(): line.partition(":")[2].strip()
+              for line in head.split("\r\n")[1:]}
+    world.count(f"{kind} {status}")
+    if "chunked" in fields.get("transfer-encoding", ""):
+        await check_stream(world, reader, request, events)
+    else:
+        answered = await reader.readexactly(int(fields.get("content-length", 0)))
+        if status == 200 and answered != f"{request}:{len(body)}".encode():
+            world.fail(f"MIXED: {request} got {answered!r}")
+    if status in (408, 421, 429, 503):
+        world.refused.add(request)
+    if status == 404:
+        world.fail(f"DENIED: {request} got 404 for a route of every version")
+    revoked = world.revoked_at.get(key)
+    if status == 200 and revoked and sent_at > revoked + REVOKE_S + 0.3:
+        world.fail(f"CONFIG: {request} served with a key that was revoked "
+                   f"{sent_at - revoked:.1f} s before")
+    if fields.get("connection") == "close":
+        writer.close()
+        return None
+    return connection
+
+
+async def check_stream(world, reader, request, events):
+    expected, generation = 1, None
+    while True:
+        size = int((await reader.readline()).strip() or b"0", 16)
+        data = (await reader.readexactly(size + 2))[:size]
+        if size == 0:
+            break
+        for event in data.decode().split("\n\n")[:-1]:
+            lines = dict(line.split(": ", 1) for line in event.split("\n"))
+            if int(lines["id"]) != expected:
+                world.fail(f"ORDER: {request} got event {lines['id']}, not {expected}")
+            if generation not in (None, lines["data"]):
+                world.fail(f"ORDER: {request} got events of {generation} and {lines['data']}")
+            expected, generation = int(lines["id"]) + 1, lines["data"]
+    if expected != events + 1:
+        world.fail(f"ORDER: {request} ended as complete after {expected - 1} of {events} events")
+    world.count("stream complete")
+
+
+async def caller(world, end):
+    connection, daemon = None, None
+    while time.monotonic() < end:
+        if connection is None:
+            daemon = world.random.choice(world.daemons)
+        kind = world.random.choice(("stream", "unsafe", "unsafe", "safe"))
+        try:
+            connection = await asyncio.wait_for(exchange(world, daemon, connection, kind), 8)
+        except asyncio.TimeoutError:
+            world.count(f"{kind} timeout")
+            connection = None
+        except (OSError, asyncio.IncompleteReadError, ValueError):
+            world.count(f"{kind} cut")
+            connection = None
+        await asyncio.sleep(world.random.uniform(0.005, 0.05))
+
+
+async def cause_fault(world):
+    """One fault and its repair."""
+    pick = world.random
+    daemon = pick.choice(world.daemons)
+    kind = pick.choice(("pause", "kill", "term", "store", "store_cut", "upstream", "proxy",
+                        "engine_leaves", "engine_crashes", "plain_leaves", "config", "revoke",
+                        "history"))
+    world.count(f"fault {kind}")
+    if kind == "pause":
+        daemon.signal(signal.SIGSTOP)
+        await asyncio.sleep(pick.uniform(0.2, 2.5))
+        daemon.signal(signal.SIGCONT)
+    elif kind in ("kill", "term"):
+        if not daemon.stopping:
+            await daemon.restart(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+    elif kind == "store":
+        world.store.mode = pick.choice(("silent", "reset", "slow", "busy"))
+        await asyncio.sleep(pick.uniform(0.5, 3.5))
+        world.store.mode = "up"
+    elif kind == "store_cut":
+        world.store_proxy.mode = pick.choice(("silent", "cut_up", "cut_down", "delay", "reset"))
+        await asyncio.sleep(pick.uniform(0.5, 2.5))
+        world.store_proxy.mode = "pass"
+    elif kind == "upstream":
+        upstream = pick.choice([item for item in world.upstreams if not item.is_engine])
+        upstream.fault = pick.choice(("shed", "lose", "hang", "extra"))
+        await asyncio.sleep(pick.uniform(0.3, 2))
+        upstream.fault = None
+    elif kind == "proxy":
+        proxy = pick.choice(world.upstreams).proxy
+        proxy.mode = pick.choice(("delay", "silent", "cut_up", "cut_down", "reset"))
+        await asyncio.sleep(pick.uniform(0.3, 2))
+        proxy.mode = "pass"
+    elif kind in ("engine_leaves", "engine_crashes", "plain_leaves"):
+        is_engine = kind != "plain_leaves"
+        upstream = pick.choice([item for item in world.upstreams if item.is_engine == is_engine])
+        await world.add_upstream(is_engine)
+        await world.remove_upstream(upstream, kind == "engine_crashes")
+    elif kind == "config":
+        await world.configure()
+    elif kind == "revoke" and KEYS[1] in world.keys:
+        world.keys.discard(KEYS[1])
+        await world.configure()
+        world.revoked_at[KEYS[1]] = time.monotonic()
+    elif kind == "history":
+        world.store.forget_history()
+
+
+async def make_faults(world, end):
+    while time.monotonic() < end:
+        await cause_fault(world)
+        await asyncio.sleep(world.random.uniform(0, 0.5))
+
+
+def check_runs(world):
+    """Checks what the upstreams have seen, after all requests have ended."""
+    for request, runs in world.runs.items():
+        if request in world.idempotent:
+            continue
+        if request in world.refused:
+            world.fail(f"REFUSED: {request} was refused as not run and ran at {runs[0][0]}")
+        if len(runs) > 1:
+            world.fail(f"TWICE: {request} ran at {[run[0] for run in runs]}")
+
+
+async def check_recovery(world):
+    """After the last repair every daemon must serve again."""
+    await asyncio.sleep(2.5)
+    for daemon in world.daemons:
+        for _ in range(20):
+            try:
+                before = world.counts.get("unsafe 200", 0)
+                await asyncio.wait_for(exchange(world, daemon, None, "unsafe"), 3)
+                if world.counts.get("unsafe 200", 0) > before:
+                    break
+            except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+                pass
+            await asyncio.sleep(0.2)
+        else:
+            world.fail(f"RECOVER: {daemon.name} does not serve after all faults were repaired")
+
+
+async def run_seed(program, seed, seconds, daemons, callers):
+    folder = tempfile.mkdtemp(prefix=f"snipeturn-soak-{seed}-")
+    world = World(program, seed, folder)
+    await world.start(daemons)
+    beat = asyncio.create_task(world.beat())
+    try:
+        await asyncio.sleep(1.5)
+        end = time.monotonic() + seconds
+        tasks = [caller(world, end + 2) for _ in range(callers)]
+        # Two series of faults, so that they overlap.
+        tasks += [make_faults(world, end), make_faults(world, end)]
+        await asyncio.gather(*tasks)
+        world.keys.update(KEYS)
+        world.revoked_at.clear()
+        await world.configure()
+        await check_recovery(world)
+        check_runs(world)
+    finally:
+        beat.cancel()
+        world.stop()
+    if world.failures:
+        print(f"seed {seed}: logs in {folder}")
+    else:
+        shutil.rmtree(folder, ignore_errors=True)
+    return world
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    parser.add_argument("--seeds", default="1,2")
+    parser.add_argument("--seconds", type=float, default=10)
+    parser.add_argument("--daemons", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=12)
+    options = parser.parse_args()
+    program = os.path.join(options.build, "snipeturn_entry")
+    passed = failed = 0
+    for seed in options.seeds.split(","):
+        world = asyncio.run(run_seed(program, int(seed), options.seconds, options.daemons,
+                                     options.callers))
+        summary = ", ".join(f"{name}: {count}" for name, count in sorted(world.counts.items()))
+        print(f"seed {seed}: {'FAILED' if world.failures else 'ok'}: {summary}")
+        for failure in world.failures[:10]:
+            print(f"  {failure}")
+        served = world.counts.get("unsafe 200", 0) + world.counts.get("stream complete", 0)
+        if served == 0:
+            print("  nothing was served")
+        if world.failures or served == 0:
+            failed += 1
+        else:
+            passed += 1
+    print(f"{passed} passed, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
