Trial: copies beside running generations while memory is plentiful

Change: Kv-Backup at an engine filled to at most half; after a broken stream the engine is asked to stop the run, then the backup's copy is used.

--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -171,7 +171,9 @@
     return;
   }
   if (request.phase == RequestPhase::kStreaming) {
-    BreakRequest(work, request, "upstream_lost");
+    if (!Rescue(work, request, attempt)) {
+      BreakRequest(work, request, "upstream_lost");
+    }
     return;
   }
   if (!request.attempts.empty()) {
