--- a/src/snipeturn/entry/desired_state.h
+++ b/src/snipeturn/entry/desired_state.h
@@ -48,8 +48,6 @@
   double link_mbps{0};
   /// The engine copies a running generation's memory to another engine.
   bool moves_generations{false};
-  /// The engine sends a running generation's memory to another engine as it grows.
-  bool keeps_backups{false};
   /// Tokens in one event of a stream.
   int tokens_per_event{1};
 };
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -112,15 +112,6 @@
   send.is_stream = request.kind == RouteKind::kStream;
   send.is_idempotent = request.kind == RouteKind::kIdempotent;
   send.resume = std::move(resume);
-  request.backup.reset();
-  const Service& service = state.desired->services[request.service];
-  if (send.is_stream && service.engine && service.engine->keeps_backups) {
-    const Placement backup = PlaceBackup(state, request, upstream, work.now);
-    if (backup.result == PlacementResult::kPlaced) {
-      request.backup = backup.upstream;
-      send.backup = state.upstreams.at(backup.upstream).entry.endpoint;
-    }
-  }
   request.attempts.push_back({send.attempt, upstream.entry.id, work.now, is_resume});
   request.sends += 1;
   request.runs += 1;
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -36,8 +36,6 @@
   /// A repeat of this request has no effect, so a connection that was idle for long may be used.
   bool is_idempotent{false};
   std::optional<Resume> resume;
-  /// Engine that gets a copy of the generation's memory as it grows.
-  std::optional<Endpoint> backup;
 };
 
 /// Close the connection of a send; nothing more of it is wanted.
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -35,9 +35,6 @@
         load.unread_tokens += request.head.prompt_tokens;
       }
     }
-    if (request.backup && !request.attempts.empty()) {
-      table[*request.backup].tokens += tokens;
-    }
     if (request.move && request.move->step != MoveStep::kResuming) {
       UpstreamLoad& load = table[request.move->target];
       load.requests += 1;
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -105,9 +105,8 @@
     work.effects.push_back(
         DropCopy{request.move->source, request.move->source_endpoint, request.move->handle});
   }
-  const Attempt lost{0, request.move->source, {}, false};
   request.move.reset();
-  if (request.attempts.empty() && !Rescue(work, request, lost)) {
+  if (request.attempts.empty()) {
     BreakRequest(work, request, reason);
   }
 }
@@ -199,40 +198,6 @@
   CallCopy(work, request, false);
 }
 
-bool Rescue(Work& work, Request& request, const Attempt& lost) {
-  const auto backup =
-      request.backup ? work.state.upstreams.find(*request.backup) : work.state.upstreams.end();
-  const auto source = work.state.upstreams.find(lost.upstream);
-  if (backup == work.state.upstreams.end() || source == work.state.upstreams.end() ||
-      !IsServing(work.state, backup->second)) {
-    return false;
-  }
-  Move move;
-  move.source = lost.upstream;
-  move.source_endpoint = source->second.entry.endpoint;
-  move.target = backup->first;
-  move.target_endpoint = backup->second.entry.endpoint;
-  move.began = work.now;
-  move.source_ended = true;
-  move.is_rescue = true;
-  request.move = move;
-  Log(work, log_events::kMoveStarted,
-      fmt::format("id={} source={} target={} reason=upstream_lost tokens={}", request.head.id,
-                  move.source, move.target, request.head.prompt_tokens + OutputTokens(request)));
-  CallCopy(work, request, true);
-  return true;
-}
-
-/// The lost engine has stopped the generation, or is gone: the backup's own copy is used.
-static void ResumeFromBackup(Work& work, Request& request) {
-  Move& move = *request.move;
-  move.source = move.target;
-  move.source_endpoint = move.target_endpoint;
-  move.handle = request.head.id;
-  move.is_complete = true;
-  ResumeAt(work, request, move.target);
-}
-
 void EndCopy(Work& work, const CopyEnded& event) {
   State& state = work.state;
   const auto orphan = state.orphan_copies.find(event.copy);
@@ -266,10 +231,6 @@
     PlanMove(work, request, kBusyRetry);
     return;
   }
-  if (move.is_rescue && event.status != CopyStatus::kCopied) {
-    ResumeFromBackup(work, request);
-    return;
-  }
   if (move.step == MoveStep::kStopping) {
     switch (event.status) {
       case CopyStatus::kCopied:
@@ -326,9 +287,7 @@
                      const Attempt& attempt,
                      const AttemptEnded& event) {
   if (!request.move) {
-    if (!Rescue(work, request, attempt)) {
-      BreakRequest(work, request, "upstream_lost");
-    }
+    BreakRequest(work, request, "upstream_lost");
     return;
   }
   Move& move = *request.move;
@@ -343,7 +302,7 @@
   const bool did_not_run = event.result == AttemptResult::kUnsent ||
                            event.result == AttemptResult::kNotExecuted ||
                            event.result == AttemptResult::kWrongUpstream;
-  if (!did_not_run || move.refused_resumes >= kMostRefusedResumes || move.source == move.target) {
+  if (!did_not_run || move.refused_resumes >= kMostRefusedResumes) {
     BreakRequest(work, request, "resume_failed");
     return;
   }
--- a/src/snipeturn/entry/migration.h
+++ b/src/snipeturn/entry/migration.h
@@ -20,13 +20,6 @@
 /// @brief Starts or continues the move of a request whose timer fired.
 void AdvanceMove(Work& work, Request& request);
 
-/// @brief Goes on with the copy at a request's backup after its engine was lost.
-///
-/// The engine is asked to stop the generation first: only the connection may have broken, and two
-/// engines must not work on one request.
-/// @return False when there is no copy to go on with.
-bool Rescue(Work& work, Request& request, const Attempt& lost);
-
 /// @brief Takes the end of a copy.
 void EndCopy(Work& work, const CopyEnded& event);
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -171,9 +171,7 @@
     return;
   }
   if (request.phase == RequestPhase::kStreaming) {
-    if (!Rescue(work, request, attempt)) {
-      BreakRequest(work, request, "upstream_lost");
-    }
+    BreakRequest(work, request, "upstream_lost");
     return;
   }
   if (!request.attempts.empty()) {
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -16,9 +16,6 @@
 constexpr double kMemoryFill = 0.9;
 /// A moved generation may use part of the reserve: without room it would be lost.
 constexpr double kMoveMemoryFill = 1.0;
-/// Copies beside running generations fill an engine up to this share, so that they never keep new
-/// work out.
-constexpr double kBackupMemoryFill = 0.5;
 /// Prompt tokens that an engine reads in a millisecond between the steps of its generations.
 constexpr double kReadTokensPerMs = 6.0;
 /// Share of the latency objective that prompts ahead of a request may take.
@@ -108,7 +105,6 @@
 Placement Choose(const State& state,
                  const Request& request,
                  const Upstream* source,
-                 double fill,
                  TimePoint now) {
   const Service* service = FindService(state, request.service);
   if (service == nullptr) {
@@ -126,7 +122,8 @@
     }
     const auto found = total.find(id);
     const UpstreamLoad load = found == total.end() ? UpstreamLoad{} : found->second;
-    Scored scored = service->engine ? ScoreEngine(*service->engine, request, load, fill)
+    Scored scored = service->engine ? ScoreEngine(*service->engine, request, load,
+                                                  source != nullptr ? kMoveMemoryFill : kMemoryFill)
                                     : ScorePlain(upstream, load);
     if (best.result == PlacementResult::kNoUpstream) {
       best.result = PlacementResult::kNoRoom;
@@ -193,21 +190,14 @@
 }
 
 Placement Place(const State& state, const Request& request, TimePoint now) {
-  return internal::Choose(state, request, nullptr, internal::kMemoryFill, now);
+  return internal::Choose(state, request, nullptr, now);
 }
 
 Placement PlaceCopy(const State& state,
                     const Request& request,
                     const Upstream& source,
                     TimePoint now) {
-  return internal::Choose(state, request, &source, internal::kMoveMemoryFill, now);
-}
-
-Placement PlaceBackup(const State& state,
-                      const Request& request,
-                      const Upstream& primary,
-                      TimePoint now) {
-  return internal::Choose(state, request, &primary, internal::kBackupMemoryFill, now);
+  return internal::Choose(state, request, &source, now);
 }
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -43,19 +43,6 @@
                                   const Upstream& source,
                                   TimePoint now);
 
-/// @brief Chooses an engine for a copy beside a running generation, while memory is plentiful: the
-/// copy
-///     saves the answer when the engine dies without notice.
-/// @param state The entry state.
-/// @param request The request.
-/// @param primary The engine that it runs on.
-/// @param now Current time.
-/// @return The engine, or why there is none.
-[[nodiscard]] Placement PlaceBackup(const State& state,
-                                    const Request& request,
-                                    const Upstream& primary,
-                                    TimePoint now);
-
 /// @brief Tells whether new work may be sent to an upstream, by all but its load.
 /// @param state The entry state.
 /// @param upstream The upstream.
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -61,8 +61,6 @@
   std::uint64_t events{0};
   /// The source's connection has ended.
   bool source_ended{false};
-  /// The source's connection broke; what it made is gone, or lies with the backup.
-  bool is_rescue{false};
   /// Resumes that an engine refused.
   int refused_resumes{0};
 };
@@ -99,8 +97,6 @@
   std::uint64_t events{0};
   TimePoint last_event_at{};
   std::optional<Move> move;
-  /// Engine that holds a copy of the running generation's memory.
-  std::optional<UpstreamId> backup;
 };
 
 /// @brief Tokens generated so far, as the caller has them.
