--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -5,9 +5,6 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
-#include <type_traits>
-#include <utility>
-#include <variant>
 #include <vector>
 
 #include "snipeturn/base/timers.h"
@@ -31,13 +28,6 @@
 constexpr std::size_t kMostNews = 24;
 /// Between two reports of an engine: a reclaimed one has about two seconds left.
 constexpr std::chrono::milliseconds kReportInterval{300};
-/// A read of another host that is so young shows that the store is back.
-constexpr std::chrono::milliseconds kFreshOfLate{1000};
-/// An own answer of this age outweighs another host's failed connection.
-constexpr std::chrono::milliseconds kReachedOfLate{400};
-constexpr std::chrono::milliseconds kAvoidUnreached{700};
-/// A host whose load came within this time is alive.
-constexpr std::chrono::milliseconds kHeardOfLate{4000};
 /// Offsets of upstreams that are gone are kept up to this many, so that a late message about one
 /// doesn't bring it back.
 constexpr std::size_t kMostOffsets = 4096;
@@ -249,79 +239,6 @@
   }
 }
 
-static void TakeNews(Work& work, const PeerNews& news) {
-  std::visit(
-      [&work](const auto& notice) {
-        if constexpr (std::is_same_v<std::decay_t<decltype(notice)>, UpstreamListed>) {
-          ListUpstream(work, notice);
-        } else {
-          UnlistUpstream(work, notice);
-        }
-      },
-      news.notice);
-}
-
-/// Another host's connections to an upstream fail: this one tries others first, unless it has just
-/// had an answer from there.
-static void AvoidUnreached(Work& work, const UpstreamId& id) {
-  const auto found = work.state.upstreams.find(id);
-  if (found == work.state.upstreams.end()) {
-    return;
-  }
-  Upstream& upstream = found->second;
-  if (!upstream.reached_at || work.now - *upstream.reached_at > kReachedOfLate) {
-    upstream.avoid_until = std::max(upstream.avoid_until, work.now + kAvoidUnreached);
-  }
-}
-
-void TakePeerLoad(Work& work, const PeerLoadReceived& event) {
-  State& state = work.state;
-  PeerLoad& peer = state.peers[event.host];
-  // Lower after a restart of the host.
-  const bool was_heard = std::exchange(peer.was_heard, true);
-  std::uint64_t known = peer.news;
-  bool has_gap = was_heard && event.news < known;  // Another life of the host.
-  for (const PeerNews& news : event.recent_news) {
-    if (news.number <= known && !has_gap) {
-      continue;
-    }
-    has_gap = has_gap || (was_heard && news.number > known + 1);
-    known = news.number;
-    TakeNews(work, news);
-  }
-  has_gap = has_gap || (was_heard && event.news > known);
-  peer.at = work.now;
-  peer.zone = event.zone;
-  peer.is_stopping = event.is_stopping;
-  peer.news = event.news;
-  peer.list_confirmed =
-      event.list_age ? std::optional<TimePoint>(work.now - *event.list_age) : std::nullopt;
-  peer.configuration_confirmed = event.configuration_age
-                                     ? std::optional<TimePoint>(work.now - *event.configuration_age)
-                                     : std::nullopt;
-  peer.load = event.load;
-  for (const UpstreamId& id : event.unreached) {
-    AvoidUnreached(work, id);
-  }
-  // A host that was never heard before counts for the shares at once.
-  const auto heard = std::count_if(
-      state.peers.begin(), state.peers.end(),
-      [&work](const auto& entry) { return work.now - entry.second.at < kHeardOfLate; });
-  state.hosts = std::max(state.hosts, static_cast<int>(heard) + 1);
-  if (has_gap) {
-    work.effects.push_back(ReadList{});
-  }
-  const bool reaches_store = event.configuration_age && *event.configuration_age < kFreshOfLate;
-  if (event.configuration_offset > state.store.offset ||
-      (!state.store.is_reachable && reaches_store)) {
-    work.effects.push_back(ReadConfiguration{});
-  }
-  if (!IsListKnown(state, work.now) && event.list_age && *event.list_age < kFreshOfLate) {
-    work.effects.push_back(ReadList{});
-  }
-  DispatchQueue(work);
-}
-
 void TakeReport(Work& work, const UpstreamReported& event) {
   const auto found = work.state.upstreams.find(event.id);
   if (found == work.state.upstreams.end() || !event.leaving) {
--- a/src/snipeturn/entry/knowledge.h
+++ b/src/snipeturn/entry/knowledge.h
@@ -19,9 +19,6 @@
 /// @brief Takes the whole list: what is missing was removed.
 void AdoptUpstreamList(Work& work, const UpstreamListRead& event);
 
-/// @brief Takes another host's load, its news and how far it is; after a gap the list is read.
-void TakePeerLoad(Work& work, const PeerLoadReceived& event);
-
 /// @brief Takes an upstream's own report.
 void TakeReport(Work& work, const UpstreamReported& event);
 
--- /dev/null
+++ b/src/snipeturn/entry/peers.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include "snipeturn/entry/event.h"
+#include "snipeturn/entry/work.h"
+
+namespace snipeturn::entry::internal {
+
+/// @brief Takes another host's load, its news and how far it is; after a gap the list is read.
+void TakePeerLoad(Work& work, const PeerLoadReceived& event);
+
+}  // namespace snipeturn::entry::internal
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -12,6 +12,7 @@
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/outcome.h"
+#include "snipeturn/entry/peers.h"
 #include "snipeturn/entry/work.h"
 
 namespace snipeturn::entry {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -126,6 +126,7 @@
   void StartCopy(const entry::StartCopy& copy);
   void DropCopy(const entry::DropCopy& drop);
   void ReadReport(const entry::ReadReport& call);
+  void ForgetUpstream(const entry::UpstreamId& upstream);
   /// Makes a call at an upstream that is no caller's request.
   void Call(const entry::UpstreamId& upstream,
             const Endpoint& endpoint,
