Bound the sum of cold starts for more hosts than starts a second

Change: with more hosts than starts as many hosts as that, ranked for each upstream, start one each.

--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -44,6 +44,8 @@
 
 /// Window of the cold limit.
 constexpr std::chrono::seconds kColdWindow{1};
+/// A host that was silent for so long has ended.
+constexpr std::chrono::seconds kHostLapse{4};
 
 double UnitHash(std::string_view key, std::string_view candidate) noexcept {
   return static_cast<double>(RendezvousWeight(key, candidate)) / kHashRange;
@@ -153,6 +155,22 @@
   return best;
 }
 
+/// Tells whether so many requests were started at a cold upstream within the window.
+bool HasStarted(const Upstream& upstream, double starts, TimePoint now) {
+  const auto recent = std::count_if(upstream.cold_starts.begin(), upstream.cold_starts.end(),
+                                    [now](TimePoint start) { return now - start < kColdWindow; });
+  return static_cast<double>(recent) >= starts;
+}
+
+/// Hosts that rank before this one for an upstream.
+int HostsBefore(const State& state, const UpstreamId& upstream, TimePoint now) {
+  const std::uint64_t own = RendezvousWeight(upstream, state.options.host);
+  return static_cast<int>(
+      std::count_if(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
+        return now - entry.second.at < kHostLapse && RendezvousWeight(upstream, entry.first) > own;
+      }));
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -169,12 +187,14 @@
   if (service == nullptr || service->cold_requests_per_second <= 0) {
     return false;
   }
-  const double share =
-      std::max(1.0, std::floor(service->cold_requests_per_second / std::max(1, state.hosts)));
-  const auto recent =
-      std::count_if(upstream.cold_starts.begin(), upstream.cold_starts.end(),
-                    [now](TimePoint start) { return now - start < internal::kColdWindow; });
-  return static_cast<double>(recent) >= share;
+  const double share = std::floor(service->cold_requests_per_second / std::max(1, state.hosts));
+  if (share < 1) {
+    // More hosts than starts a second: as many hosts as that start one each.
+    return internal::HostsBefore(state, upstream.entry.id, now) >=
+               static_cast<int>(service->cold_requests_per_second) ||
+           internal::HasStarted(upstream, 1, now);
+  }
+  return internal::HasStarted(upstream, share, now);
 }
 
 void CountStart(Upstream& upstream, TimePoint now) {
--- /dev/null
+++ b/test/snipeturn/entry/sums_test.cc
@@ -0,0 +1,78 @@
+#include <catch2/catch.hpp>
+
+#include "snipeturn/entry/entry_fixture.h"
+
+namespace snipeturn::entry {
+namespace {
+
+/// Several hosts that hear one another.
+class SumsFixture {
+ public:
+  /// Lets all hosts get requests for a cold upstream in one second; returns the sum of the sends.
+  static int ColdStarts(int hosts, double cold_per_second, int heard) {
+    int starts = 0;
+    for (int host = 0; host < hosts; ++host) {
+      EntryFixture one;
+      one.state.options.host = "host-" + std::to_string(host);
+      one.desired.version = 2;
+      one.desired.services["plain"].cold_requests_per_second = cold_per_second;
+      one.Do(DesiredStateRead{one.desired});
+      one.Do(HostsRead{hosts});
+      for (int other = 0; other < heard; ++other) {
+        if (other != host) {
+          PeerLoadReceived load;
+          load.host = "host-" + std::to_string(other);
+          one.Do(load);
+        }
+      }
+      UpstreamEntry entry = one.List("plain-1", "plain");
+      entry.cold_left = 5s;
+      entry.sequence += 1;
+      one.Do(UpstreamListed{entry, 100});
+      for (int request = 0; request < 8; ++request) {
+        one.Arrive("/book/a");
+        starts += static_cast<int>(one.All<Send>().size());
+      }
+    }
+    return starts;
+  }
+};
+
+// Guards against a cold upstream that crashes under the sum of what all hosts start there.
+TEST_CASE_METHOD(SumsFixture, "coldUpstream_anyNumberOfHosts_sumWithinItsLimit", "[entry]") {
+  for (const int hosts : {1, 2, 7, 9, 26, 69, 83, 120}) {
+    const int starts = ColdStarts(hosts, 26, hosts);
+    CHECK(starts <= 26);
+    CHECK(starts > 0);
+  }
+}
+
+// Guards against a sum that grows without bound when some hosts are not heard.
+TEST_CASE_METHOD(SumsFixture, "coldUpstream_fewHostsUnheard_sumGrowsByThemAtMost", "[entry]") {
+  CHECK(ColdStarts(69, 26, 60) <= 26 + 9);
+}
+
+// Guards against repeats of all hosts that pass the service's budget when it fails every request.
+TEST_CASE("retryBudget_manyHosts_sumWithinRatioAndSlack", "[entry]") {
+  Bounds bounds;
+  bounds.retry_ratio = 0.2;
+  bounds.retry_slack = 54;
+  for (const int hosts : {1, 7, 83}) {
+    int requests = 0;
+    int repeats = 0;
+    for (int host = 0; host < hosts; ++host) {
+      RetryBudget budget;
+      for (int count = 0; count < 40; ++count) {
+        const TimePoint now(std::chrono::milliseconds(200 * count));
+        CountRequest(budget, bounds, now);
+        ++requests;
+        repeats += TakeRepeat(budget, bounds, hosts, now) ? 1 : 0;
+      }
+    }
+    CHECK(repeats > 0);
+    CHECK(repeats <= 0.2 * requests + 54);
+  }
+}
+
+}  // namespace
+}  // namespace snipeturn::entry
