Remove fields that nothing reads

Cause: reading the diff as a newcomer: loads that upstreams tell, status check paths, connection limits, link figures and cold tolerances were decoded and stored, and no decision used them. Their part of a contract test goes with them. No decision changes.

--- a/src/snipeturn/entry/desired_state.h
+++ b/src/snipeturn/entry/desired_state.h
@@ -30,8 +30,6 @@
   std::vector<ServiceShare> services;
   std::chrono::milliseconds timeout{0};
   std::chrono::milliseconds latency_objective{0};
-  /// Longest pause between events of an answer that is on time.
-  std::chrono::milliseconds gap_objective{0};
   /// 0 is the most urgent.
   int priority{0};
   /// Upstreams that may run one attempt of a caller.
@@ -44,8 +42,6 @@
 struct EngineLimits {
   int slots{0};
   std::uint64_t memory_tokens{0};
-  std::uint64_t bytes_per_token{0};
-  double link_mbps{0};
   /// The engine copies a running generation's memory to another engine.
   bool moves_generations{false};
   /// Tokens in one event of a stream.
@@ -54,8 +50,6 @@
 
 struct Service {
   std::string name;
-  std::string health_path;
-  int max_connections{0};
   /// How long an upstream stays cold after its start.
   std::chrono::milliseconds cold_time{0};
   /// Requests a second that a cold upstream bears; 0 when the service has no cold start.
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -64,7 +64,6 @@
   int status{0};
   /// The answer is the upstream's own and may be passed on as it is.
   bool relayable{false};
-  std::optional<ToldLoad> load;
   std::string reason;
 };
 
@@ -73,7 +72,6 @@
   AttemptKey attempt{0};
   /// Events of the answer so far.
   std::uint64_t events{0};
-  std::optional<ToldLoad> load;
 };
 
 enum class CopyStatus : std::uint8_t {
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -235,7 +235,6 @@
     switch (event.status) {
       case CopyStatus::kCopied:
       case CopyStatus::kNoAnswer:
-        move.events = event.events;
         move.is_complete = true;
         if (move.handle.empty()) {
           GiveUpMove(work, request, "no_handle");
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -17,8 +17,6 @@
   double retry_ratio{0.2};
   double retry_slack{0};
   std::chrono::milliseconds retry_window{10000};
-  double cold_overage{1};
-  double cold_slack{0};
 };
 
 struct Options {
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -61,9 +61,6 @@
     return;
   }
   Upstream& upstream = found->second;
-  if (event.load) {
-    upstream.told = event.load;
-  }
   const bool is_server_error = event.result == AttemptResult::kAnswered && event.status >= 500;
   const bool has_failed = event.result == AttemptResult::kUnsent ||
                           event.result == AttemptResult::kBroken ||
@@ -203,9 +200,6 @@
   const auto upstream = work.state.upstreams.find(attempt->upstream);
   const bool is_first = request.phase != RequestPhase::kStreaming;
   if (upstream != work.state.upstreams.end()) {
-    if (event.load) {
-      upstream->second.told = event.load;
-    }
     if (!is_first) {
       const double gap = std::chrono::duration<double>(work.now - request.last_event_at).count();
       double& mean = upstream->second.event_gap;
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -57,8 +57,6 @@
   TimePoint call_began{};
   /// Name of the copy, once the source told one.
   std::string handle;
-  /// Events that the generation had made when it was stopped.
-  std::uint64_t events{0};
   /// The source's connection has ended.
   bool source_ended{false};
   /// Resumes that an engine refused.
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -37,14 +37,6 @@
   std::uint64_t unread_tokens{0};
 };
 
-/// Load that an upstream told in an answer.
-struct ToldLoad {
-  int running{0};
-  int waiting{0};
-  int slots{0};
-  TimePoint at{};
-};
-
 enum class UpstreamPhase : std::uint8_t {
   kServing,
   /// Said to leave, or its entry is gone: no new work; running work goes on.
@@ -62,7 +54,6 @@
   /// It leaves because its entry was removed; an entry that comes back ends that.
   bool was_unlisted{false};
   TimePoint cold_until{};
-  std::optional<ToldLoad> told;
   /// Failures in a row, as seen by this host's requests.
   int failures{0};
   TimePoint avoid_until{};
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -4,7 +4,6 @@
 
 #include <utility>
 
-#include "snipeturn/loop/boot_clock.h"
 #include "snipeturn/loop/entry_runtime.h"
 
 namespace snipeturn::loop {
@@ -79,7 +78,7 @@
     return true;
   }
   Outgoing& outgoing = found->second;
-  AnswerNotes notes = wire_.decode_answer(head, BootTime());
+  AnswerNotes notes = wire_.decode_answer(head);
   const std::string& own_id = state_.requests.at(outgoing.request).head.id;
   if (!notes.request_id.empty() && notes.request_id != own_id) {
     metrics_.Add(Count{kDropped, "other_request", 1});
@@ -136,7 +135,7 @@
   const bool has_gap = outgoing.has_gap;
   const HttpClient::ExchangeKey exchange = outgoing.exchange;
   if (has_new) {
-    Apply(entry::StreamProgressed{key, last, outgoing.notes.load});
+    Apply(entry::StreamProgressed{key, last});
   }
   // The reducer may have ended the send meanwhile.
   if (has_gap && outgoing_.count(key) > 0) {
@@ -157,7 +156,6 @@
   ended.attempt = key;
   ended.reason = reason;
   ended.status = outgoing.head.status;
-  ended.load = outgoing.notes.load;
   switch (result) {
     case ExchangeResult::kUnsent:
       ended.result = entry::AttemptResult::kUnsent;
--- a/src/snipeturn/loop/wire.h
+++ b/src/snipeturn/loop/wire.h
@@ -26,7 +26,6 @@
   bool wrong_upstream{false};
   /// The upstream vouches for the answer.
   bool is_signed{false};
-  std::optional<entry::ToldLoad> load;
 };
 
 /// Names and formats of the platform, as functions; `platform/` fills it.
@@ -36,7 +35,7 @@
   std::string (*encode_request)(const HttpHead& head,
                                 std::string_view body,
                                 const entry::Send& send);
-  AnswerNotes (*decode_answer)(const HttpHead& head, TimePoint now);
+  AnswerNotes (*decode_answer)(const HttpHead& head);
   /// The call that copies a generation; `run` is the caller's id of the request.
   std::string (*encode_copy)(const entry::StartCopy& copy, std::string_view run);
   entry::CopyEnded (*decode_copy)(int status, std::string_view body);
--- a/test/platform/entry_wire_test.cc
+++ b/test/platform/entry_wire_test.cc
@@ -112,17 +112,13 @@
 TEST_CASE_METHOD(WireFixture, "answer_notes_decoded", "[platform]") {
   HttpHead answer;
   answer.status = 503;
-  answer.fields = {{"Request-Id", "9c41"}, {"Not-Executed", "1"}, {"Server-Load", "3,0,8"}};
-  const loop::AnswerNotes notes = wire.decode_answer(answer, TimePoint{});
+  answer.fields = {{"Request-Id", "9c41"}, {"Not-Executed", "1"}};
+  const loop::AnswerNotes notes = wire.decode_answer(answer);
   CHECK(notes.request_id == "9c41");
   CHECK(notes.not_executed);
   CHECK_FALSE(notes.is_signed);
-  REQUIRE(notes.load);
-  CHECK(notes.load->running == 3);
-  CHECK(notes.load->slots == 8);
-  answer.fields = {{"Server-Load", "3,x"}, {"Response-Stamp", "3e"}};
-  CHECK_FALSE(wire.decode_answer(answer, TimePoint{}).load);
-  CHECK(wire.decode_answer(answer, TimePoint{}).is_signed);
+  answer.fields = {{"Response-Stamp", "3e"}};
+  CHECK(wire.decode_answer(answer).is_signed);
 }
 
 TEST_CASE_METHOD(WireFixture, "copy_answers_toldApart", "[platform]") {
--- a/test/snipeturn/entry/entry_fixture.h
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -140,7 +140,7 @@
   }
 
   void MakeEvents(AttemptKey attempt, std::uint64_t events) {
-    Do(StreamProgressed{attempt, events, std::nullopt});
+    Do(StreamProgressed{attempt, events});
   }
 
   void End(AttemptKey attempt, AttemptResult result, int status = 0) {
