--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -76,6 +76,7 @@
     """The platform, the daemons and what was seen."""
 
     drain_s = 1.0
+    paused_at = 0.0
 
     def __init__(self, program, seed, folder):
         self.program, self.folder = program, folder
@@ -236,8 +237,10 @@
     world.count(f"fault {kind}")
     if kind == "pause":
         daemon.signal(signal.SIGSTOP)
+        world.paused_at = time.monotonic()
         await asyncio.sleep(pick.uniform(0.2, 2.5))
         daemon.signal(signal.SIGCONT)
+        world.paused_at = time.monotonic()
     elif kind in ("kill", "term"):
         if not daemon.stopping:
             await daemon.restart(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
