Mend three faults of resumed generations that the fuzz test found

The limit on resumes is meant for engines that are gone; this one answered. Change: while the engine answers, with misplaced tokens, the number of resumes ends the stream only after 5 s without a token. Change: only a token in its place names the generation. Ruled out: the spoiled tokens of the harness alone, since no host had freed the slots by a timeout.

--- a/src/snipeturn/requests/attempts.cc
+++ b/src/snipeturn/requests/attempts.cc
@@ -25,6 +25,11 @@
 /// settles the call for repeats.
 constexpr std::chrono::seconds kLateAnswerTime = kCleanUpTime;
 
+/// An engine that answers resumes with misplaced tokens still has the generation, so the number of
+/// resumes doesn't end the stream before this time without a token. It is the default of
+/// caller_grace, the time for which a silent generation is kept for its caller.
+constexpr milliseconds kMisplacedTokensTime{5000};
+
 milliseconds PauseBefore(int failures) noexcept {
   if (failures <= 1) {
     return milliseconds{0};
@@ -186,10 +191,20 @@
   }
 }
 
-void Recover(Work& work, Request& request, std::string_view reason) {
+bool MayResume(const Work& work, const Request& request, AttemptSign sign) {
+  if (request.generation.empty()) {
+    return false;
+  }
+  if (request.stalled_resumes < work.context.options.tuning.max_stalled_resumes) {
+    return true;
+  }
+  return sign == AttemptSign::kMisplacedToken && request.last_token &&
+         work.now.monotonic - *request.last_token < kMisplacedTokensTime;
+}
+
+void Recover(Work& work, Request& request, std::string_view reason, AttemptSign sign) {
   request.may_have_run = true;
-  if (request.generation.empty() ||
-      request.stalled_resumes >= work.context.options.tuning.max_stalled_resumes) {
+  if (!MayResume(work, request, sign)) {
     EndWithoutGeneration(work, request, reason);
     return;
   }
@@ -308,7 +323,7 @@
   }
   RecordFailure(work, request, "no_progress");
   AbandonOpenAttempt(work, request);
-  Recover(work, request, "no_progress");
+  Recover(work, request, "no_progress", AttemptSign::kLost);
 }
 
 }  // namespace snipeturn::internal
--- a/src/snipeturn/requests/attempts.h
+++ b/src/snipeturn/requests/attempts.h
@@ -12,10 +12,20 @@
 /// @brief Resumes the request's generation at the delivered cursor, after a pause if it is given.
 void Resume(Work& work, Request& request, std::chrono::milliseconds pause);
 
-/// @brief Resumes after a failure, at most max_stalled_resumes times without progress; when the
-///     generation is unknown or lost, restarts or ends the request.
+/// What the end of an attempt says of the generation.
+enum class AttemptSign {
+  /// The engine may be gone.
+  kLost,
+  /// The engine answered, with another token than the next one.
+  kMisplacedToken,
+};
+
+/// @brief Resumes after a failure, at most max_stalled_resumes times without progress, or for some
+///     seconds while the engine answers; when the generation is unknown or lost, restarts or ends
+///     the request.
 /// @param reason Label of the retry counter.
-void Recover(Work& work, Request& request, std::string_view reason);
+/// @param sign What the attempt said of the generation.
+void Recover(Work& work, Request& request, std::string_view reason, AttemptSign sign);
 
 /// @brief Puts the request back into the queue for another upstream, within the retry budget.
 /// @param reason Label of the retry counter.
--- a/src/snipeturn/requests/streams.cc
+++ b/src/snipeturn/requests/streams.cc
@@ -84,7 +84,7 @@
 void LeaveExchange(Work& work, Request& request, std::string_view reason) {
   DropReply(work, reason);
   AbandonOpenAttempt(work, request);
-  Recover(work, request, reason);
+  Recover(work, request, reason, AttemptSign::kMisplacedToken);
 }
 
 bool IsOtherGeneration(const Request& request, const AttemptToken& token) noexcept {
@@ -102,10 +102,6 @@
     LeaveExchange(work, request, "other_generation");
     return;
   }
-  request.generation = token.generation;
-  if (token.incarnation != 0) {
-    request.incarnation = token.incarnation;
-  }
   if (token.index < request.delivered) {
     DropReply(work, "duplicate");
     return;
@@ -114,6 +110,12 @@
     LeaveExchange(work, request, "gap");
     return;
   }
+  // Only a token in its place names the generation: a resume under a name that is not this
+  // request's would find no such generation, and free the slot of the one that still runs.
+  request.generation = token.generation;
+  if (token.incarnation != 0) {
+    request.incarnation = token.incarnation;
+  }
   RecordToken(work, request, token);
   ChargeToken(work, request);
   ReleaseToken(work, request, token);
@@ -228,7 +230,7 @@
       // The upstream answered with an error, so no generation runs.
       EndHold(work, request);
     }
-    Recover(work, request, "broken");
+    Recover(work, request, "broken", AttemptSign::kLost);
   }
 }
 
--- a/test/snipeturn/requests/streams_test.cc
+++ b/test/snipeturn/requests/streams_test.cc
@@ -43,6 +43,16 @@
   CHECK(Released() == "t0t1t2");
 }
 
+// Guards against a generation that is taken for gone, and its slot for free, because a misplaced
+// first token bore another generation's name (found by the fuzz test, seed 4 case 126).
+TEST_CASE_METHOD(StreamFixture, "stream_first_token_misplaced_names_no_generation", "[requests]") {
+  StartStream(0);
+  Token(1, 1, 1, "g2");
+  CHECK(LastStart().kind == AttemptKind::kGenerate);
+  // The first engine may still run the work.
+  CHECK(limits_.holds.size() == 2);
+}
+
 // Guards against two generations in one answer: by name, and by name in a restarted engine.
 TEST_CASE_METHOD(StreamFixture, "stream_other_generation_is_not_released", "[requests]") {
   StartStream(1);
@@ -82,7 +92,10 @@
   End(1, 2, AttemptResult::kComplete);
   CHECK(All<FinishCaller>().size() == 1);
   CHECK(limits_.holds.size() == 1);
-  Advance(seconds{16});
+  // The engine ends unread work at its first step after 15 s (found by the fuzz test, seed 4).
+  Advance(milliseconds{15500});
+  CHECK(limits_.holds.size() == 1);
+  Advance(seconds{1});
   CHECK(limits_.holds.empty());
 }
 
@@ -110,6 +123,27 @@
   CHECK(All<SendToken>().empty());
 }
 
+// Guards against a stream that is given up within a second though its engine lives and answers:
+// three resumes in a row met misplaced tokens in a run of the fuzz test.
+TEST_CASE_METHOD(StreamFixture, "stream_misplaced_tokens_resumes_for_some_seconds", "[requests]") {
+  StartStream(1);
+  Token(1, 1, 2, "g1");
+  for (std::uint64_t attempt = 2; attempt < 6; ++attempt) {
+    Advance(seconds{1});
+    Token(1, attempt, 1, "g2");
+  }
+  CHECK(All<RefuseCaller>().empty());
+  Advance(seconds{2});
+  Token(1, 6, 1, "g1");
+  CHECK(Released() == "t0t1");
+  Token(1, 6, 3, "g1");
+  for (std::uint64_t attempt = 7; attempt < 20 && All<RefuseCaller>().empty(); ++attempt) {
+    Advance(milliseconds{1900});
+    Token(1, attempt, 2, "g2");
+  }
+  CHECK(LastProblem().reason == "stream_stalled");
+}
+
 // Guards against endless resumes, and against a slot that is free while the engine cleans up.
 TEST_CASE_METHOD(StreamFixture, "stream_silent_ends_after_three_resumes", "[requests]") {
   StartStream(1);
