Forecast memory of other hosts' work by its usual size

Cause: a host took other hosts' running work to need as much more as its own did at that moment, or, without any of its own, to double in size. Young work of others looked small, and a fifth generation was admitted where four fit. Change: work that ran at the report is taken to reach its expected size; the usual size is learned from what this host wanted to start.

--- a/src/snipeturn/limits/description.cc
+++ b/src/snipeturn/limits/description.cc
@@ -38,7 +38,7 @@
     Json::Value& count = entry["slots"][ToString(slot.phase)];
     count = count.asInt() + 1;
   }
-  if (const auto memory = MemoryLimit(state, name, limits, now)) {
+  if (const auto memory = MemoryLimit(state, name, limits)) {
     entry["memory"] = *memory;
   }
   if (limits.report) {
--- a/src/snipeturn/limits/limits.h
+++ b/src/snipeturn/limits/limits.h
@@ -184,6 +184,8 @@
   int base_limit{0};
   std::map<HostName, PeerHolds> peer_holds;
   std::optional<LoadReported> report;
+  /// Mean of the expected tokens of work that this host wanted to start here; 0 before any.
+  double usual_tokens{0};
   /// The load that is compared with heartbeats that follow it.
   std::optional<ComparedLoad> compared;
   /// Slots of removed hosts that stay blocked by work that no member accounts for.
--- a/src/snipeturn/limits/memory.cc
+++ b/src/snipeturn/limits/memory.cc
@@ -10,11 +10,13 @@
 constexpr double kUsableShare = 0.95;
 // Bounds the guess of other hosts' starts when this host ran little at the time of the report.
 constexpr double kMaxHostFactor = 16.0;
+/// Weight of the newest request in the mean of expected tokens.
+constexpr double kUsualWeight = 0.2;
 
 /// This host's work on an upstream, split at the time of the report.
 struct OwnWork {
   double old_count{0};
-  double old_growth{0};
+  double old_expected{0};
   double new_count{0};
   double new_tokens{0};
   double expected{0};
@@ -30,7 +32,7 @@
     work.expected += expected;
     if (hold.since <= measured) {
       ++work.old_count;
-      work.old_growth += std::max(0.0, expected - static_cast<double>(hold.tokens));
+      work.old_expected += expected;
     } else {
       ++work.new_count;
       work.new_tokens += expected;
@@ -41,11 +43,19 @@
 
 }  // namespace
 
+void LearnUsualTokens(UpstreamLimits& limits, std::uint64_t expected) noexcept {
+  if (expected == 0) {
+    return;  // Plain services hold no tokens.
+  }
+  const auto tokens = static_cast<double>(expected);
+  limits.usual_tokens = limits.usual_tokens == 0
+                            ? tokens
+                            : limits.usual_tokens + kUsualWeight * (tokens - limits.usual_tokens);
+}
+
 std::optional<int> MemoryLimit(const LimitsState& state,
                                const UpstreamName& upstream,
-                               const UpstreamLimits& limits,
-                               const Now& now) {
-  (void)now;
+                               const UpstreamLimits& limits) {
   if (!limits.report || limits.report->memory_total_tokens == 0) {
     return std::nullopt;
   }
@@ -54,16 +64,19 @@
   const double running = report.running + report.waiting;
   const auto used = static_cast<double>(report.memory_used_tokens);
   const double own_total = own.old_count + own.new_count;
-  // Other hosts' work is taken to be like this host's; without any of its own, work is taken to
-  // double in size.
+  // Other hosts' work is taken to be like this host's, of which the work that it wanted to start
+  // before speaks while it runs none; without any, work is taken to double in size.
   const double mean_used = running > 0 ? used / running : 0.0;
-  const double growth = own.old_count > 0 ? own.old_growth / own.old_count : mean_used;
-  const double size =
-      std::max({1.0, own_total > 0 ? own.expected / own_total : 2 * mean_used, mean_used});
+  const double usual = limits.usual_tokens > 0 ? limits.usual_tokens : 2 * mean_used;
+  const double size = std::max({1.0, own_total > 0 ? own.expected / own_total : usual, mean_used});
   const double factor =
       own.old_count > 0 ? std::clamp(running / own.old_count, 1.0, kMaxHostFactor) : 1.0;
   const double started = own.new_count * factor;
-  const double forecast = used + running * growth + own.new_tokens * factor;
+  // Work that ran at the report is taken to reach its expected size, whatever it held then: the own
+  // work's progress says nothing of how far the others' work is.
+  const double others = std::max(0.0, running - own.old_count);
+  const double forecast =
+      std::max(used, own.old_expected + others * size) + own.new_tokens * factor;
   const double room = kUsableShare * static_cast<double>(report.memory_total_tokens) - forecast;
   const double limit = running + started + std::floor(room / size);
   // An engine that runs nothing takes one piece of work, whatever its expected size.
--- a/src/snipeturn/limits/resource.cc
+++ b/src/snipeturn/limits/resource.cc
@@ -115,7 +115,7 @@
   if (resource.rfind(kZonePrefix, 0) == 0) {
     return limit;
   }
-  return std::min(limit, MemoryLimit(state, resource, limits, now).value_or(limit));
+  return std::min(limit, MemoryLimit(state, resource, limits).value_or(limit));
 }
 
 bool Uses(const Hold& hold, const std::string& resource, int slot) {
--- a/src/snipeturn/limits/resource.h
+++ b/src/snipeturn/limits/resource.h
@@ -15,11 +15,14 @@
 /// Level of the ramp in force.
 [[nodiscard]] int RampLevel(const UpstreamLimits& limits, const Tuning& tuning, const Now& now);
 
+/// @brief Learns how many tokens work usually needs that this host starts on an upstream.
+/// @param expected Expected tokens of a request; 0 for plain services.
+void LearnUsualTokens(UpstreamLimits& limits, std::uint64_t expected) noexcept;
+
 /// Pieces of work that the upstream's memory bears, or nothing without a report of memory.
 [[nodiscard]] std::optional<int> MemoryLimit(const LimitsState& state,
                                              const UpstreamName& upstream,
-                                             const UpstreamLimits& limits,
-                                             const Now& now);
+                                             const UpstreamLimits& limits);
 
 /// min(configured, ramp), without work that runs above it and without memory.
 [[nodiscard]] int BaseLimit(const std::string& resource,
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -93,9 +93,11 @@
     }
   }
 
-  std::optional<SlotGrant> Start(Node& node, WorkClass work_class = WorkClass::kCritical) {
-    auto grant = AcquireSlot(node.limits, node.membership, catalog, {"s/u", work_class, 0}, tuning,
-                             now, last_reason);
+  std::optional<SlotGrant> Start(Node& node,
+                                 WorkClass work_class = WorkClass::kCritical,
+                                 std::uint64_t expected_tokens = 0) {
+    auto grant = AcquireSlot(node.limits, node.membership, catalog,
+                             {"s/u", work_class, expected_tokens}, tuning, now, last_reason);
     return grant && now.monotonic < grant->start_before ? grant : std::nullopt;
   }
 
--- a/test/snipeturn/limits/ramp_test.cc
+++ b/test/snipeturn/limits/ramp_test.cc
@@ -23,6 +23,19 @@
     return UsableLimit(nodes.at(name).limits, catalog, "s/u", tuning, now);
   }
 
+  /// Delivers the upstream's report of its running work and memory.
+  void Report(test::Node& node, int running, std::uint64_t used, std::uint64_t total) {
+    LoadReported report;
+    report.upstream = "s/u";
+    report.incarnation = 1;
+    report.running = running;
+    report.memory_used_tokens = used;
+    report.memory_total_tokens = total;
+    report.began = now.monotonic;
+    Effects effects;
+    HandleLoadReport(node.limits, node.membership, catalog, report, tuning, now, effects);
+  }
+
   /// Completes pieces of work on whichever host may start them.
   void Complete(int pieces, milliseconds latency = milliseconds{50}) {
     for (int i = 0; i < pieces; ++i) {
@@ -224,6 +237,37 @@
   CHECK(Limit("a") == 8);
 }
 
+// Guards against a host without work of its own there that takes young work of other hosts for small:
+// memory_test saw engines preempt.
+TEST_CASE_METHOD(RampFixture, "memory_forecast_without_own_work_knows_the_usual_size", "[limits]") {
+  catalog.upstreams["s/u"].cold_slots = 8;
+  ApplyEverywhere();
+  test::Node& node = nodes.at("a");
+  const auto grant = Start(node, WorkClass::kCritical, 300);
+  REQUIRE(grant);
+  End(node, grant->hold);
+  Report(node, 3, 300, 1500);
+  // Each of the 3 grows to 300: 900 of 1425 leave room for one more.
+  CHECK(Limit("a") == 4);
+}
+
+// Guards against growth that counts from now where the memory in use is that of an old report.
+TEST_CASE_METHOD(RampFixture, "memory_forecast_of_an_old_report_grows_from_its_time", "[limits]") {
+  catalog.upstreams["s/u"].cold_slots = 8;
+  ApplyEverywhere();
+  test::Node& node = nodes.at("a");
+  const auto grant = Start(node, WorkClass::kCritical, 300);
+  REQUIRE(grant);
+  Run(milliseconds{300});
+  Report(node, 4, 600, 1500);
+  now.monotonic += milliseconds{300};
+  for (int token = 0; token < 300; ++token) {
+    Sign(node, grant->hold, WorkSign::kToken, milliseconds{1});
+  }
+  // At the report each of the 4 had 150 tokens to go: 1200 of 1425 leave no room.
+  CHECK(Limit("a") == 4);
+}
+
 TEST_CASE("reserves_leave_a_slot_to_all_classes", "[limits]") {
   const Tuning tuning;
   const ServedClasses all;
