Confirm the configuration through its readers

Change: a host asks a reader how far it has read, by a datagram, and takes the answer as a read that began when it asked, less the age of the reader's read: delays and frozen hosts only make it older. It reads by itself when no answer comes in time. Prompts come only when a reader reads again after 2 s without.

--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -10,6 +10,7 @@
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/log_event.h"
 #include "snipeturn/base/metric.h"
+#include "snipeturn/base/time.h"
 #include "snipeturn/entry/fwd.h"
 
 namespace snipeturn::entry {
@@ -104,6 +105,22 @@
 /// Read the configuration now: another host has read further.
 struct ReadConfiguration {};
 
+/// Ask another host how far it has read the configuration.
+struct AskConfirmation {
+  std::string host;
+  TimePoint asked_at{};
+};
+
+/// Tell another host, which asked, how far this one has read the configuration.
+struct AnswerConfirmation {
+  std::string host;
+  /// The asking host's time.
+  TimePoint asked_at{};
+  std::uint64_t offset{0};
+  /// Age of this host's last read, from its begin.
+  std::chrono::milliseconds age{0};
+};
+
 /// No connection to the upstream is needed any more.
 struct ForgetUpstream {
   UpstreamId id;
@@ -124,6 +141,8 @@
                             ReadReport,
                             ReadList,
                             ReadConfiguration,
+                            AskConfirmation,
+                            AnswerConfirmation,
                             ForgetUpstream,
                             EmitLog,
                             Count,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -204,6 +204,23 @@
   std::vector<UpstreamId> unreached;
 };
 
+/// Another host asks how far this one has read the configuration.
+struct ConfirmationAsked {
+  std::string host;
+  /// The asking host's time, which the answer repeats.
+  TimePoint asked_at{};
+};
+
+/// Another host tells how far it has read the configuration.
+struct ConfirmationAnswered {
+  /// When this host asked.
+  TimePoint asked_at{};
+  /// Offset up to which the other host had read when its last read ended.
+  std::uint64_t offset{0};
+  /// Time from the begin of that read to the answer.
+  std::chrono::milliseconds age{0};
+};
+
 struct OptionsChanged {
   Bounds bounds;
 };
@@ -228,6 +245,8 @@
                            StoreFailed,
                            HostsRead,
                            PeerLoadReceived,
+                           ConfirmationAsked,
+                           ConfirmationAnswered,
                            OptionsChanged,
                            ShutdownRequested,
                            Tick>;
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/knowledge.h"
 #include "snipeturn/entry/readers.h"
@@ -17,8 +18,17 @@
 constexpr std::chrono::milliseconds kAvoidUnreached{700};
 /// A host whose load came within this time is alive.
 constexpr std::chrono::milliseconds kHeardOfLate{4000};
-/// A read of another host that is so young shows that the store is back.
+/// A read of another host that is so young shows that the store is back, if its last one was old:
+/// a store that only this host can't reach is not asked more often for that.
 constexpr std::chrono::milliseconds kFreshOfLate{1000};
+constexpr std::chrono::milliseconds kOldRead{2000};
+
+/// True when the host's reads of the configuration succeed again.
+bool HasReadAgain(const PeerLoad& before, const PeerLoadReceived& event) {
+  const bool was_away =
+      !before.configuration_confirmed || before.at - *before.configuration_confirmed > kOldRead;
+  return was_away && event.configuration_age && *event.configuration_age < kFreshOfLate;
+}
 
 void TakeNews(Work& work, const PeerNews& news) {
   std::visit(
@@ -63,6 +73,7 @@
     TakeNews(work, news);
   }
   has_gap = has_gap || (was_heard && event.news > known);
+  const bool is_store_back = !state.store.is_reachable && HasReadAgain(peer, event);
   peer.at = work.now;
   peer.zone = event.zone;
   peer.is_stopping = event.is_stopping;
@@ -84,14 +95,10 @@
   if (has_gap) {
     work.effects.push_back(ReadList{});
   }
-  const bool reaches_store = event.configuration_age && *event.configuration_age < kFreshOfLate;
-  if (event.configuration_offset > state.store.offset ||
-      (!state.store.is_reachable && reaches_store)) {
+  if (event.configuration_offset > state.store.offset || is_store_back) {
     work.effects.push_back(ReadConfiguration{});
   }
-  if (!IsListKnown(state, work.now) && event.list_age && *event.list_age < kFreshOfLate) {
-    work.effects.push_back(ReadList{});
-  }
+  AskReader(work);
   DispatchQueue(work);
 }
 
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -31,6 +31,8 @@
 /// Share of the time after which keys lapse in which every host confirms the configuration; more
 /// than that makes a host count as not ready.
 constexpr double kConfirmShare = 0.44;
+/// While readers confirm it every host reads by itself only now and then.
+constexpr std::chrono::milliseconds kRelaxedConfigurationInterval{15000};
 /// A host that hears no reader must see a change by itself within a second or so.
 constexpr std::chrono::milliseconds kOwnConfigurationInterval{900};
 
@@ -64,6 +66,10 @@
   return ReaderRank(state, internal::kConfiguration, now) <= 1;
 }
 
+bool IsConfigurationRead(const PeerLoad& peer, TimePoint now) {
+  return internal::IsFresh(peer, peer.configuration_confirmed, internal::kFreshConfiguration, now);
+}
+
 bool IsListKnown(const State& state, TimePoint now) {
   if (state.list_confirmed && now - *state.list_confirmed < internal::kFreshList) {
     return true;
@@ -82,15 +88,17 @@
     default:
       break;
   }
-  for (const auto& [host, peer] : state.peers) {
-    if (internal::IsFresh(peer, peer.configuration_confirmed, internal::kFreshConfiguration, now)) {
-      return {
-          std::chrono::milliseconds{0},
-          std::chrono::milliseconds(static_cast<std::int64_t>(
-              static_cast<double>(state.options.bounds.revoke.count()) * internal::kConfirmShare))};
-    }
+  const bool is_reader_known =
+      std::any_of(state.peers.begin(), state.peers.end(),
+                  [now](const auto& entry) { return IsConfigurationRead(entry.second, now); });
+  if (!is_reader_known) {
+    return {std::chrono::milliseconds{0}, internal::kOwnConfigurationInterval};
   }
-  return {std::chrono::milliseconds{0}, internal::kOwnConfigurationInterval};
+  const auto limit = std::chrono::milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(state.options.bounds.revoke.count()) * internal::kConfirmShare));
+  const bool is_confirmed = state.store.confirmed && now - *state.store.confirmed < limit;
+  return {std::chrono::milliseconds{0},
+          is_confirmed ? internal::kRelaxedConfigurationInterval : limit};
 }
 
 std::chrono::milliseconds ListReadInterval(const State& state, TimePoint now) {
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -25,9 +25,10 @@
 
 /// @brief How this host reads the configuration now.
 ///
-/// Two hosts wait at the store for changes and tell the others, which read at once then. All read
-/// often enough to confirm the callers' keys; the age of a confirmation counts from the begin of
-/// the read, so one that waits is old when it ends.
+/// Two hosts wait at the store for changes and tell the others, which read at once then. The others
+/// ask them often enough to confirm the callers' keys, and read by themselves when the answers don't
+/// do; the age of a confirmation counts from the begin of the read, so one that waits is old when
+/// it ends.
 [[nodiscard]] ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now);
 
 /// @brief Tells whether other hosts rely on this host to see changes of the upstream list.
@@ -36,6 +37,10 @@
 /// @brief Tells whether other hosts rely on this host to see changes of the configuration.
 [[nodiscard]] bool IsConfigurationReader(const State& state, TimePoint now);
 
+/// @brief Tells whether another host waits at the store for changes of the configuration and has
+///     read it of late.
+[[nodiscard]] bool IsConfigurationRead(const PeerLoad& peer, TimePoint now);
+
 /// @brief Tells whether this host, or one that it hears, has read the upstream list of late.
 [[nodiscard]] bool IsListKnown(const State& state, TimePoint now);
 
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -7,6 +7,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/knowledge.h"
 #include "snipeturn/entry/lifecycle.h"
@@ -117,6 +118,10 @@
           }
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
           TakePeerLoad(work, item);
+        } else if constexpr (std::is_same_v<Item, ConfirmationAsked>) {
+          AnswerReaderQuestion(work, item);
+        } else if constexpr (std::is_same_v<Item, ConfirmationAnswered>) {
+          TakeReaderAnswer(work, item);
         } else if constexpr (std::is_same_v<Item, UpstreamReported>) {
           TakeReport(work, item);
         } else if constexpr (std::is_same_v<Item, ListConfirmed>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -19,9 +19,12 @@
 
 /// What this host knows of the platform's store.
 struct StoreView {
-  /// Begin of the last read that missed no change of the configuration.
+  /// Begin of the last read, by this host or one that it asked, that missed no change of the
+  /// configuration.
   std::optional<TimePoint> confirmed;
-  /// End of that read.
+  /// When a reader was last asked.
+  std::optional<TimePoint> asked_at;
+  /// End of the last read by this host.
   TimePoint read_at{};
   /// Offset up to which the configuration was read.
   std::uint64_t offset{0};
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -74,8 +74,9 @@
       Log({entry::log_events::kReloadFailed, "metrics=" + *failure});
     }
   }
-  peers_ = std::make_unique<PeerSocket>(
-      context_, options_.peer, [this](entry::PeerLoadReceived&& load) { Apply(std::move(load)); });
+  peers_ = std::make_unique<PeerSocket>(context_, options_.peer, [this](PeerMessage&& message) {
+    std::visit([this](auto& content) { Apply(std::move(content)); }, message.content);
+  });
   if (peers_->failure()) {
     return "peers: " + *peers_->failure();
   }
@@ -299,6 +300,10 @@
           if (on_configuration_wanted_) {
             on_configuration_wanted_();
           }
+        } else if constexpr (std::is_same_v<Item, entry::AskConfirmation>) {
+          peers_->Send(EncodeQuestion(options_.entry.host, item), item.host);
+        } else if constexpr (std::is_same_v<Item, entry::AnswerConfirmation>) {
+          peers_->Send(EncodeAnswer(options_.entry.host, item), item.host);
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           ForgetUpstream(item.id);
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -81,7 +81,17 @@
   return entry::PeerNews{number, std::move(listed)};
 }
 
+constexpr char kAsked[] = "asked_us";
+constexpr char kAnswered[] = "answered_us";
+
+TimePoint DecodeTime(const Json::Value& value) {
+  return TimePoint(std::chrono::microseconds(value.asInt64()));
+}
+
 std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
+  if (!root["load"].isArray()) {
+    return std::nullopt;
+  }
   entry::PeerLoadReceived received;
   received.host = root["host"].asString();
   received.zone = root["zone"].asString();
@@ -113,9 +123,48 @@
   return received;
 }
 
+std::optional<PeerMessage> DecodeMessage(const Json::Value& root) {
+  PeerMessage message{root["host"].asString(), {}};
+  if (root.isMember(kAsked)) {
+    message.content = entry::ConfirmationAsked{message.host, DecodeTime(root[kAsked])};
+    return message;
+  }
+  if (root.isMember(kAnswered)) {
+    const std::chrono::milliseconds age(root["configuration_age_ms"].asInt64());
+    if (age < std::chrono::milliseconds{0}) {
+      return std::nullopt;  // Would confirm the configuration for a time to come.
+    }
+    message.content = entry::ConfirmationAnswered{DecodeTime(root[kAnswered]),
+                                                  root["configuration"].asUInt64(), age};
+    return message;
+  }
+  auto load = DecodeLoad(root);
+  if (!load) {
+    return std::nullopt;
+  }
+  message.content = std::move(*load);
+  return message;
+}
+
 }  // namespace
 }  // namespace internal
 
+std::string EncodeQuestion(std::string_view host, const entry::AskConfirmation& question) {
+  Json::Value root;
+  root["host"] = std::string(host);
+  root[internal::kAsked] = Json::Int64{question.asked_at.time_since_epoch().count()};
+  return internal::Write(root);
+}
+
+std::string EncodeAnswer(std::string_view host, const entry::AnswerConfirmation& answer) {
+  Json::Value root;
+  root["host"] = std::string(host);
+  root[internal::kAnswered] = Json::Int64{answer.asked_at.time_since_epoch().count()};
+  root["configuration"] = Json::UInt64{answer.offset};
+  root["configuration_age_ms"] = Json::Int64{answer.age.count()};
+  return internal::Write(root);
+}
+
 std::string EncodeLoad(const entry::PeerLoadReceived& load) {
   Json::Value root;
   root["host"] = load.host;
@@ -148,16 +197,16 @@
   return internal::Write(root);
 }
 
-std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text) {
+std::optional<PeerMessage> DecodePeerMessage(std::string_view text) {
   Json::Value root;
   const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
   // The reader throws on deep nesting, the accessors of Json::Value on a value of another type.
   try {
     if (!reader->parse(text.data(), text.data() + text.size(), &root, nullptr) ||
-        !root.isObject() || !root["host"].isString() || !root["load"].isArray()) {
+        !root.isObject() || !root["host"].isString()) {
       return std::nullopt;
     }
-    return internal::DecodeLoad(root);
+    return internal::DecodeMessage(root);
   } catch (const Json::Exception&) {
     return std::nullopt;
   }
@@ -165,8 +214,8 @@
 
 PeerSocket::PeerSocket(boost::asio::io_context& context,
                        const Endpoint& own,
-                       std::function<void(entry::PeerLoadReceived&&)> on_load)
-    : socket_(context), on_load_(std::move(on_load)) {
+                       std::function<void(PeerMessage&&)> on_message)
+    : socket_(context), on_message_(std::move(on_message)) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(own.address, error);
   if (!error) {
@@ -199,11 +248,11 @@
                          if (error) {
                            break;
                          }
-                         if (auto load = DecodeLoad({buffer_.data(), count})) {
+                         if (auto message = DecodePeerMessage({buffer_.data(), count})) {
                            const Endpoint sender{from.address().to_string(), from.port()};
-                           heard_[load->host] = sender;
-                           peers_.emplace(load->host, sender);
-                           on_load_(std::move(*load));
+                           heard_[message->host] = sender;
+                           peers_.emplace(message->host, sender);
+                           on_message_(std::move(*message));
                          }
                        }
                        AwaitReadable();
@@ -219,18 +268,28 @@
 void PeerSocket::Broadcast(std::string_view datagram,
                            const std::function<bool(const std::string&)>& is_wanted) {
   for (const auto& [name, endpoint] : peers_) {
-    if (!is_wanted(name)) {
-      continue;
-    }
-    boost::system::error_code error;
-    const auto address = boost::asio::ip::make_address(endpoint.address, error);
-    if (error) {
-      continue;  // Checked when the peer's record was read.
+    if (is_wanted(name)) {
+      SendTo(datagram, endpoint);
     }
-    // A datagram that can't be sent is followed by the next one.
-    socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
-                    {address, static_cast<std::uint16_t>(endpoint.port)}, 0, error);
   }
 }
 
+void PeerSocket::Send(std::string_view datagram, const std::string& host) {
+  const auto peer = peers_.find(host);
+  if (peer != peers_.end()) {
+    SendTo(datagram, peer->second);
+  }
+}
+
+void PeerSocket::SendTo(std::string_view datagram, const Endpoint& endpoint) {
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(endpoint.address, error);
+  if (error) {
+    return;  // Checked when the peer's record was read.
+  }
+  // A datagram that can't be sent is followed by the next one.
+  socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
+                  {address, static_cast<std::uint16_t>(endpoint.port)}, 0, error);
+}
+
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -8,8 +8,10 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 #include "snipeturn/base/host.h"
+#include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
 
 namespace snipeturn::loop {
@@ -19,22 +21,39 @@
 /// @return The datagram.
 [[nodiscard]] std::string EncodeLoad(const entry::PeerLoadReceived& load);
 
-/// @brief Reads a load table.
+/// @brief Writes a question to a reader of the configuration.
+/// @param host This host.
+[[nodiscard]] std::string EncodeQuestion(std::string_view host,
+                                         const entry::AskConfirmation& question);
+
+/// @brief Writes the answer to such a question.
+/// @param host This host.
+[[nodiscard]] std::string EncodeAnswer(std::string_view host,
+                                       const entry::AnswerConfirmation& answer);
+
+/// A message of another host.
+struct PeerMessage {
+  std::string host;
+  std::variant<entry::PeerLoadReceived, entry::ConfirmationAsked, entry::ConfirmationAnswered>
+      content;
+};
+
+/// @brief Reads a message of another host.
 /// @param text The datagram.
-/// @return The event, or nothing when the datagram can't be read.
-[[nodiscard]] std::optional<entry::PeerLoadReceived> DecodeLoad(std::string_view text);
+/// @return The message, or nothing when the datagram can't be read.
+[[nodiscard]] std::optional<PeerMessage> DecodePeerMessage(std::string_view text);
 
-/// Sends this host's load table to the other hosts and receives theirs, over UDP: a lost table is
-/// followed by the next one.
+/// Sends this host's load table to the other hosts and receives theirs, and questions on the
+/// configuration, over UDP: what is lost is followed by the next table or question.
 class PeerSocket {
  public:
   /// @brief Opens the socket.
   /// @param context The event loop.
   /// @param own Address and port to bind.
-  /// @param on_load Takes a peer's table.
+  /// @param on_message Takes a peer's message.
   PeerSocket(boost::asio::io_context& context,
              const Endpoint& own,
-             std::function<void(entry::PeerLoadReceived&&)> on_load);
+             std::function<void(PeerMessage&&)> on_message);
 
   /// @return Why the socket could not be opened, or nothing.
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
@@ -50,14 +69,18 @@
   void Broadcast(std::string_view datagram,
                  const std::function<bool(const std::string& host)>& is_wanted);
 
+  /// @brief Sends a datagram to one host, if its address is known.
+  void Send(std::string_view datagram, const std::string& host);
+
  private:
   void AwaitReadable();
+  void SendTo(std::string_view datagram, const Endpoint& endpoint);
 
   /// Largest datagram: a table of some hundred upstreams.
   static constexpr std::size_t kMaxDatagram = 16384;
 
   boost::asio::ip::udp::socket socket_;
-  std::function<void(entry::PeerLoadReceived&&)> on_load_;
+  std::function<void(PeerMessage&&)> on_message_;
   std::map<std::string, Endpoint> peers_;
   /// Hosts that sent a message since the store named its hosts.
   std::map<std::string, Endpoint> heard_;
