--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -62,7 +62,9 @@
     return;
   }
   if (event.offset > store.offset) {
-    work.effects.push_back(ReadConfiguration{});
+    if (store.is_reachable) {
+      work.effects.push_back(ReadConfiguration{});
+    }
     return;
   }
   const TimePoint began = event.asked_at - event.age;
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -73,7 +73,7 @@
     TakeNews(work, news);
   }
   has_gap = has_gap || (was_heard && event.news > known);
-  const bool is_store_back = !state.store.is_reachable && HasReadAgain(peer, event);
+  const bool is_store_back = HasReadAgain(peer, event);
   peer.at = work.now;
   peer.zone = event.zone;
   peer.is_stopping = event.is_stopping;
@@ -95,7 +95,9 @@
   if (has_gap) {
     work.effects.push_back(ReadList{});
   }
-  if (event.configuration_offset > state.store.offset || is_store_back) {
+  // A store that this host can't reach is asked again when another host reaches it again, and
+  // else after the waits that follow failed reads.
+  if (state.store.is_reachable ? event.configuration_offset > state.store.offset : is_store_back) {
     work.effects.push_back(ReadConfiguration{});
   }
   AskReader(work);
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -14,8 +14,9 @@
 constexpr std::chrono::milliseconds kSilence{900};
 constexpr std::chrono::milliseconds kFirstInterval{120};
 constexpr std::chrono::milliseconds kSecondInterval{400};
-/// While a reader tells its news every host reads by itself only now and then.
-constexpr std::chrono::milliseconds kRelaxedInterval{6000};
+/// While a reader tells its news every host reads by itself only now and then: numbers show what
+/// was lost.
+constexpr std::chrono::milliseconds kRelaxedInterval{12000};
 /// Reads of a reader that are fresh enough to rely on. A reader of the configuration waits for up
 /// to a second; one that is cut off from the store tells no more, and the other hosts have to see a
 /// change by themselves within two seconds of it.
--- a/test/snipeturn/entry/confirmation_test.cc
+++ b/test/snipeturn/entry/confirmation_test.cc
@@ -88,6 +88,10 @@
   Do(ConfirmationAnswered{question.asked_at, 11, 100ms});
   CHECK(All<ReadConfiguration>().size() == 1);
   CHECK(state.store.confirmed == before);
+  // A store that can't be reached is not asked with every answer.
+  Do(StoreFailed{"down"});
+  Do(ConfirmationAnswered{question.asked_at, 11, 100ms});
+  CHECK(All<ReadConfiguration>().empty());
 }
 
 // Guards against an answer to a question of another life of this host.
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -245,6 +245,9 @@
   now += 300ms;
   Do(load);
   CHECK(All<ReadConfiguration>().empty());
+  load.configuration_offset = 12;
+  Do(load);
+  CHECK(All<ReadConfiguration>().empty());
 }
 
 // Guards against a change that a host misses for over two seconds because the reader that it relies
