Send no work to upstreams that left while a host was cut off

An upstream that never says that it drains removed its entry at 21.49 s. The host read again only at 23.25 s, after its own waits, since another host's fresh read prompted it only after an outage that the other host had seen; the entry, gone so soon after failed reads, counted as a lapse for 2 s more, and got a request 3.5 s after its removal. Change: a host that hears a reader again after 2 s of silence reads at once; upstreams whose entry may have lapsed come after all others. Ruled out: a read of the list that was cut short (1 MB is the limit); news that were lost (the others knew it as leaving before).

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -39,6 +39,8 @@
 constexpr double kUnknownGap = 0.04;
 /// Resumes of a copy that engines refuse before the stream is given up.
 constexpr int kMostRefusedResumes = 3;
+/// A request is on its way to the engine for so long at most.
+constexpr std::chrono::milliseconds kWayToEngine{150};
 
 const Attempt* RunningAttempt(const Request& request) {
   return request.attempts.empty() ? nullptr : &request.attempts.back();
@@ -94,6 +96,15 @@
   SendTo(work, request, found->second, Resume{move.source_endpoint, move.handle, request.events});
 }
 
+/// Tells whether the generation may go back to the engine that it left: one that leaves must get no
+/// request, also none of these, later than the time to drain.
+bool MayGoBack(const Work& work, const Move& move) {
+  const auto source = work.state.upstreams.find(move.source);
+  return source != work.state.upstreams.end() &&
+         (source->second.phase != UpstreamPhase::kLeaving ||
+          work.now - source->second.phase_since < work.state.options.bounds.drain - kWayToEngine);
+}
+
 void GiveUpMove(Work& work, Request& request, std::string_view reason) {
   Log(work, log_events::kMoveFailed,
       fmt::format("id={} source={} target={} reason={} rounds={} events={}", request.head.id,
@@ -246,7 +257,7 @@
         return;
       case CopyStatus::kNoRoom:
         // The generation has stopped; the source still has its memory.
-        if (!move.handle.empty()) {
+        if (!move.handle.empty() && MayGoBack(work, move)) {
           ResumeAt(work, request, move.source);
           return;
         }
@@ -306,8 +317,9 @@
     return;
   }
   const bool was_target = attempt.upstream == move.target;
-  ResumeAt(work, request,
-           was_target && event.result != AttemptResult::kUnsent ? move.source : move.target);
+  const bool goes_back =
+      was_target && event.result != AttemptResult::kUnsent && MayGoBack(work, move);
+  ResumeAt(work, request, goes_back ? move.source : move.target);
 }
 
 void FinishMove(Work& work, Request& request) {
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -23,10 +23,10 @@
 constexpr std::chrono::milliseconds kFreshOfLate{1000};
 constexpr std::chrono::milliseconds kOldRead{2000};
 
-/// True when the host's reads of the configuration succeed again.
-bool HasReadAgain(const PeerLoad& before, const PeerLoadReceived& event) {
-  const bool was_away =
-      !before.configuration_confirmed || before.at - *before.configuration_confirmed > kOldRead;
+/// True when the host's reads of the configuration succeed again, or it is heard again.
+bool HasReadAgain(const PeerLoad& before, const PeerLoadReceived& event, TimePoint now) {
+  const bool was_away = now - before.at > kOldRead || !before.configuration_confirmed ||
+                        before.at - *before.configuration_confirmed > kOldRead;
   return was_away && event.configuration_age && *event.configuration_age < kFreshOfLate;
 }
 
@@ -73,7 +73,7 @@
     TakeNews(work, news);
   }
   has_gap = has_gap || (was_heard && event.news > known);
-  const bool is_store_back = HasReadAgain(peer, event);
+  const bool is_store_back = HasReadAgain(peer, event, work.now);
   peer.at = work.now;
   peer.zone = event.zone;
   peer.is_stopping = event.is_stopping;
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -29,6 +29,8 @@
 /// Upstreams that failed of late come after all others.
 constexpr double kAvoidPenalty = 10.0;
 constexpr double kFailurePenalty = 2.0;
+/// An entry that vanished while the store failed may have lapsed, or its upstream leaves.
+constexpr double kLapsedPenalty = 5.0;
 /// Preference for the engine that is likely to have read a shared prefix.
 constexpr double kAffinityBonus = 0.05;
 /// Random part of the score, so that hosts with the same view don't all choose the same upstream;
@@ -143,6 +145,9 @@
     if (now < upstream.avoid_until) {
       score += kAvoidPenalty;
     }
+    if (upstream.phase == UpstreamPhase::kLapsed) {
+      score += kLapsedPenalty;
+    }
     score += kFailurePenalty * std::max(0.0, upstream.failure_share - mean_failure_share);
     if (source == nullptr && !request.head.shared_prefix.empty()) {
       score -= kAffinityBonus * UnitHash(request.head.shared_prefix, id);
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -248,6 +248,10 @@
   load.configuration_offset = 12;
   Do(load);
   CHECK(All<ReadConfiguration>().empty());
+  // This host was cut off from all: what it missed is read at once when it hears the others again.
+  now += 3s;
+  Do(load);
+  CHECK(All<ReadConfiguration>().size() == 1);
 }
 
 // Guards against a change that a host misses for over two seconds because the reader that it relies
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -24,6 +24,32 @@
   Send send;
 };
 
+// Guards against a request to an engine that has left for longer than the time to drain: the target
+// of a move refused it, and it was sent back (found by the entry fuzz test, seed 2: rule DRAIN).
+TEST_CASE_METHOD(MigrationFixture, "resume_targetRefusesLate_notSentBackToSource", "[entry]") {
+  const StartCopy first = Notice();
+  now += 1500ms;
+  EndCopy(first, CopyStatus::kCopied, 5);
+  const StartCopy last = All<StartCopy>().at(0);
+  REQUIRE(last.final);
+  SECTION("in time") {
+    EndCopy(last, CopyStatus::kCopied, 5);
+    End(All<Send>().at(0).attempt, AttemptResult::kNotExecuted, 503);
+    CHECK(All<Send>().at(0).upstream == "engine-1");
+  }
+  SECTION("late") {
+    now += 400ms;
+    EndCopy(last, CopyStatus::kCopied, 5);
+    End(All<Send>().at(0).attempt, AttemptResult::kNotExecuted, 503);
+    CHECK(All<Send>().at(0).upstream == "engine-2");
+  }
+  SECTION("late, without room at the target") {
+    now += 400ms;
+    EndCopy(last, CopyStatus::kNoRoom, 5);
+    CHECK(All<Send>().empty());
+  }
+}
+
 // Guards against a generation that dies with its reclaimed engine.
 TEST_CASE_METHOD(MigrationFixture, "stream_sourceLeaves_copiedThenStoppedThenResumed", "[entry]") {
   const StartCopy first = Notice();
--- a/test/snipeturn/entry/placement_test.cc
+++ b/test/snipeturn/entry/placement_test.cc
@@ -29,6 +29,20 @@
   CHECK(Place(3000, 1000) == "engine-2");
 }
 
+// Guards against work for an upstream that leaves: this host was cut off from the store when the
+// entry was removed, and took that for a lapse (hunted day zone_leaves_and_returns, seed
+// 830848609653).
+TEST_CASE_METHOD(PlacementFixture, "upstream_entryVanishedInOutage_comesAfterOthers", "[entry]") {
+  List("engine-1", "engines");
+  List("engine-2", "engines", "zone-b");
+  Do(StoreFailed{"no answer"});
+  Do(UpstreamUnlisted{"engine-1", 10});
+  CHECK(Place(3000, 1000) == "engine-2");
+  // All may have lapsed.
+  Do(UpstreamUnlisted{"engine-2", 11});
+  CHECK_FALSE(Place(3000, 1000).empty());
+}
+
 TEST_CASE_METHOD(PlacementFixture, "engine_noRoomAnywhere_waitsAndIsSentWhenThereIs", "[entry]") {
   List("engine-1", "engines");
   Tell("engine-1", 26000);
