--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <set>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "snipeturn/base/timers.h"
@@ -53,13 +54,14 @@
 }
 
 template <typename Notice>
-void Tell(Work& work, const Notice& notice) {
+void Tell(Work& work, Notice notice) {
   State& state = work.state;
   while (!state.recent_news.empty() && (work.now - state.recent_news.front().at > kNewsLife ||
                                         state.recent_news.size() >= kMostNews)) {
     state.recent_news.pop_front();
   }
-  state.recent_news.push_back({work.now, {++state.news, notice}});
+  notice.source = KnowledgeSource::kPeer;  // As which the other hosts take it.
+  state.recent_news.push_back({work.now, {++state.news, std::move(notice)}});
 }
 
 /// Takes the offset of a record; false when a newer one of the upstream is known.
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -1,6 +1,7 @@
 #include "snipeturn/entry/load.h"
 
 #include "snipeturn/entry/forecast.h"
+#include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -11,10 +12,35 @@
 
 /// How long a failed connection is told to other hosts; by then a dead upstream's entry is gone.
 constexpr std::chrono::milliseconds kUnreachedLife{1000};
+/// News are told again for so long: with two more tables at least.
+constexpr std::chrono::milliseconds kNewsRepeat{1200};
 
 }  // namespace
 }  // namespace internal
 
+PeerLoadReceived MakeLoadTable(const State& state, TimePoint now) {
+  PeerLoadReceived table;
+  table.host = state.options.host;
+  table.zone = state.options.zone;
+  table.is_stopping = state.is_stopping;
+  table.news = state.news;
+  for (const State::RecentNews& recent : state.recent_news) {
+    if (now - recent.at < internal::kNewsRepeat) {
+      table.recent_news.push_back(recent.news);
+    }
+  }
+  table.configuration_offset = state.store.offset;
+  if (state.store.confirmed && IsConfigurationReader(state, now)) {
+    table.configuration_age = ToMilliseconds(now - state.store.read_at);
+  }
+  if (state.list_confirmed && IsListReader(state, now)) {
+    table.list_age = ToMilliseconds(now - *state.list_confirmed);
+  }
+  table.load = OwnLoad(state);
+  table.unreached = UnreachedUpstreams(state, now);
+  return table;
+}
+
 std::uint64_t NeededTokens(const Request& request) noexcept {
   if (request.kind != RouteKind::kStream) {
     return 0;
--- a/src/snipeturn/entry/load.h
+++ b/src/snipeturn/entry/load.h
@@ -2,6 +2,7 @@
 
 #include <vector>
 
+#include "snipeturn/entry/event.h"
 #include "snipeturn/entry/state.h"
 
 namespace snipeturn::entry {
@@ -20,6 +21,10 @@
 /// @brief Upstreams to which this host's connections failed in the last moments.
 [[nodiscard]] std::vector<UpstreamId> UnreachedUpstreams(const State& state, TimePoint now);
 
+/// @brief What the other hosts are told: this host's work, its news of the last moments and how far
+///     it has read.
+[[nodiscard]] PeerLoadReceived MakeLoadTable(const State& state, TimePoint now);
+
 /// @brief Engine memory that a request is expected to need.
 /// @param request The request.
 /// @return Tokens; 0 for requests to plain services.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -27,8 +27,6 @@
 /// In a large deployment hosts of other zones are told what ends only so often.
 constexpr std::size_t kSmallDeployment = 16;
 constexpr std::chrono::milliseconds kFarRepeat{1400};
-/// News are told again for so long: with two more tables at least.
-constexpr std::chrono::milliseconds kNewsRepeat{1200};
 /// A changed load table is told at once, but not more often than this; the more hosts there are the
 /// more seldom, so that a host gets at most some 400 tables a second.
 constexpr std::chrono::milliseconds kLeastLoadInterval{20};
@@ -358,29 +356,11 @@
   if (is_for_all) {
     told_all_at_ = now;
   }
-  entry::PeerLoadReceived load;
-  load.host = options_.entry.host;
-  load.zone = options_.entry.zone;
-  load.is_stopping = state_.is_stopping;
-  load.news = state_.news;
-  for (const auto& recent : state_.recent_news) {
-    if (now - recent.at < internal::kNewsRepeat) {
-      load.recent_news.push_back(recent.news);
-    }
-  }
-  load.configuration_offset = state_.store.offset;
-  if (state_.store.confirmed && entry::IsConfigurationReader(state_, now)) {
-    load.configuration_age = ToMilliseconds(now - state_.store.read_at);
-  }
-  if (state_.list_confirmed && entry::IsListReader(state_, now)) {
-    load.list_age = ToMilliseconds(now - *state_.list_confirmed);
-  }
-  load.load = entry::OwnLoad(state_);
-  load.unreached = entry::UnreachedUpstreams(state_, now);
-  peers_->Broadcast(EncodeLoad(load), [this, is_for_all](const std::string& host) {
-    const auto peer = state_.peers.find(host);
-    return is_for_all || peer == state_.peers.end() || peer->second.zone == options_.entry.zone;
-  });
+  peers_->Broadcast(
+      EncodeLoad(entry::MakeLoadTable(state_, now)), [this, is_for_all](const std::string& host) {
+        const auto peer = state_.peers.find(host);
+        return is_for_all || peer == state_.peers.end() || peer->second.zone == options_.entry.zone;
+      });
 }
 
 void EntryRuntime::DoHousekeeping() {
--- a/test/fuzz/actions.cc
+++ b/test/fuzz/actions.cc
@@ -1,8 +1,6 @@
 #include "fuzz/actions.h"
 
-#include <algorithm>
 #include <chrono>
-#include <cstdio>
 
 namespace snipeturn {
 namespace {
@@ -59,27 +57,4 @@
   return kActions;
 }
 
-void RunAction(const Action& action, Harness& harness, int first, int second) {
-  action.run(harness, first, second);
-  harness.Run(milliseconds{50 + second * 20});
-}
-
-bool RunActionLine(const std::string& line, Harness& harness) {
-  const auto bracket = line.find(" (");
-  int first = 0;
-  int second = 0;
-  if (bracket == std::string::npos ||
-      std::sscanf(line.c_str() + bracket, " (%d, %d)", &first, &second) != 2) {
-    return false;
-  }
-  const auto found = std::find_if(Actions().begin(), Actions().end(), [&](const Action& action) {
-    return line.substr(0, bracket) == action.name;
-  });
-  if (found == Actions().end()) {
-    return false;
-  }
-  RunAction(*found, harness, first, second);
-  return true;
-}
-
 }  // namespace snipeturn
