Tell the other hosts which upstreams fail

Each of 69 hosts learned that by itself, at a weight of 0.08 for each failure, and an engine that fails fast looks free: the busiest got 1.82 times the mean. Change: hosts tell one another how many sends failed and were answered of late at upstreams that fail; the sum over all hosts, halved each second, with two answers assumed, is what placement weighs. Answers that never come count as failures. Errors that come everywhere still weigh nothing.

--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -202,6 +202,8 @@
   LoadTable load;
   /// Upstreams to which its connections failed in the last moments.
   std::vector<UpstreamId> unreached;
+  /// Upstreams at which its sends failed in the last moments.
+  OutcomeTable outcomes;
 };
 
 /// Another host asks how far this one has read the configuration.
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -8,6 +8,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/forecast.h"
+#include "snipeturn/entry/health.h"
 #include "snipeturn/entry/routing.h"
 
 namespace snipeturn::entry::internal {
@@ -259,6 +260,12 @@
 }
 
 void ExpireRequest(Work& work, Request& request) {
+  for (const Attempt& attempt : request.attempts) {
+    const auto upstream = work.state.upstreams.find(attempt.upstream);
+    if (upstream != work.state.upstreams.end() && request.phase == RequestPhase::kSent) {
+      CountOutcome(upstream->second.outcomes, true, work.now);
+    }
+  }
   if (request.phase == RequestPhase::kStreaming) {
     BreakRequest(work, request, "timeout");
   } else if (request.runs > 0) {
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -1,6 +1,7 @@
 #include "snipeturn/entry/load.h"
 
 #include "snipeturn/entry/forecast.h"
+#include "snipeturn/entry/health.h"
 #include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry {
@@ -38,6 +39,7 @@
   }
   table.load = OwnLoad(state);
   table.unreached = UnreachedUpstreams(state, now);
+  table.outcomes = FailingUpstreams(state, now);
   return table;
 }
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -7,6 +7,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/health.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/placement.h"
@@ -18,10 +19,8 @@
 constexpr std::chrono::milliseconds kAvoidBase{250};
 constexpr std::chrono::milliseconds kAvoidLimit{4000};
 constexpr int kMostDoublings = 4;
-/// A failed connection is told at once if the last one was so long ago.
-constexpr std::chrono::milliseconds kUnreachedNews{500};
-/// Weight of the newest answer in the share of failures.
-constexpr double kFailureWeight = 0.08;
+/// A failure is told at once if the last one that was told is so long ago.
+constexpr std::chrono::milliseconds kFailureNews{500};
 /// Weight of the newest sample in the mean time between events.
 constexpr double kGapWeight = 0.05;
 /// Sends of one request, whatever became of them: a bound on a loop over upstreams that refuse.
@@ -66,16 +65,17 @@
                           event.result == AttemptResult::kBroken ||
                           event.result == AttemptResult::kNotExecuted;
   const bool is_bad = has_failed || is_server_error;
-  upstream.failure_share += kFailureWeight * ((is_bad ? 1.0 : 0.0) - upstream.failure_share);
+  CountOutcome(upstream.outcomes, is_bad, work.now);
+  if (is_bad && work.now - upstream.failure_told_at > kFailureNews) {
+    upstream.failure_told_at = work.now;
+    work.state.load_changes += 1;  // Other hosts are told at once.
+  }
   if (event.result == AttemptResult::kWrongUpstream) {
     upstream.phase = UpstreamPhase::kLeaving;
     upstream.phase_since = work.now;
     return;
   }
   if (event.result == AttemptResult::kUnsent) {
-    if (!upstream.unreached_at || work.now - *upstream.unreached_at > kUnreachedNews) {
-      work.state.load_changes += 1;  // Other hosts are told at once.
-    }
     upstream.unreached_at = work.now;
   } else {
     upstream.reached_at = work.now;
@@ -89,8 +89,8 @@
       std::min(kAvoidLimit, kAvoidBase * (1 << std::min(upstream.failures, kMostDoublings)));
   upstream.failures += 1;
   Log(work, log_events::kUpstreamAvoided,
-      fmt::format("upstream={} failures={} share={:.2f} for_ms={} reason={}", attempt.upstream,
-                  upstream.failures, upstream.failure_share,
+      fmt::format("upstream={} failures={} recent={:.1f} for_ms={} reason={}", attempt.upstream,
+                  upstream.failures, upstream.outcomes.failures,
                   ToMilliseconds(upstream.avoid_until - work.now).count(), event.reason));
 }
 
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -84,6 +84,10 @@
                                      ? std::optional<TimePoint>(work.now - *event.configuration_age)
                                      : std::nullopt;
   peer.load = event.load;
+  peer.outcomes = event.outcomes;
+  for (auto& [id, count] : peer.outcomes) {
+    count.at = work.now;
+  }
   for (const UpstreamId& id : event.unreached) {
     AvoidUnreached(work, id);
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "snipeturn/base/hash.h"
+#include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
 
 namespace snipeturn::entry {
@@ -93,12 +94,19 @@
   return scored;
 }
 
-double MeanFailureShare(const State& state, const std::string& service) {
+using Shares = std::map<UpstreamId, double>;
+
+double ShareOf(const Shares& shares, const UpstreamId& id) {
+  const auto found = shares.find(id);
+  return found == shares.end() ? 0.0 : found->second;
+}
+
+double MeanShare(const State& state, const std::string& service, const Shares& shares) {
   double sum = 0;
   int count = 0;
   for (const auto& [id, upstream] : state.upstreams) {
     if (upstream.entry.service == service) {
-      sum += upstream.failure_share;
+      sum += ShareOf(shares, id);
       ++count;
     }
   }
@@ -115,7 +123,8 @@
     return {};
   }
   const LoadTable total = TotalLoad(state, now);
-  const double mean_failure_share = MeanFailureShare(state, request.service);
+  const Shares failures = FailureShares(state, now);
+  const double mean_failures = MeanShare(state, request.service, failures);
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
   Placement best;
   double best_score = std::numeric_limits<double>::max();
@@ -148,7 +157,7 @@
     if (upstream.phase == UpstreamPhase::kLapsed) {
       score += kLapsedPenalty;
     }
-    score += kFailurePenalty * std::max(0.0, upstream.failure_share - mean_failure_share);
+    score += kFailurePenalty * std::max(0.0, ShareOf(failures, id) - mean_failures);
     if (source == nullptr && !request.head.shared_prefix.empty()) {
       score -= kAffinityBonus * UnitHash(request.head.shared_prefix, id);
     }
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -45,6 +45,8 @@
   std::optional<TimePoint> configuration_confirmed;
   std::optional<TimePoint> list_confirmed;
   LoadTable load;
+  /// Upstreams at which its sends failed of late.
+  OutcomeTable outcomes;
 };
 
 /// A copy whose request has ended while the call was open.
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -37,6 +37,14 @@
   std::uint64_t unread_tokens{0};
 };
 
+/// Ends of sends at an upstream, weighted by age.
+struct OutcomeCount {
+  double failures{0};
+  double answers{0};
+  /// Time of the weights.
+  TimePoint at{};
+};
+
 enum class UpstreamPhase : std::uint8_t {
   kServing,
   /// Said to leave, or its entry is gone: no new work; running work goes on.
@@ -60,8 +68,10 @@
   /// Last failed connection, and last answer, of this host.
   std::optional<TimePoint> unreached_at;
   std::optional<TimePoint> reached_at;
-  /// Moving share of failed answers, 0 to 1.
-  double failure_share{0};
+  /// Ends of this host's sends.
+  OutcomeCount outcomes;
+  /// When the other hosts were last told at once that sends fail.
+  TimePoint failure_told_at{};
   /// Moving mean of the time between two events of a stream, seconds; 0 before the first sample.
   double event_gap{0};
   /// Starts of the last second while cold.
@@ -69,6 +79,7 @@
 };
 
 using LoadTable = std::map<UpstreamId, UpstreamLoad>;
+using OutcomeTable = std::map<UpstreamId, OutcomeCount>;
 using UpstreamTable = std::map<UpstreamId, Upstream>;
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -16,10 +16,16 @@
 
 /// Values of an upstream's row: id, requests, tokens, unread tokens.
 constexpr Json::ArrayIndex kRowLength = 4;
+/// Values of an upstream's outcomes: id, failures, answers.
+constexpr Json::ArrayIndex kOutcomeLength = 3;
+
+/// Digits of a fraction.
+constexpr int kPrecision = 4;
 
 std::string Write(const Json::Value& root) {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "";
+  builder["precision"] = kPrecision;
   return Json::writeString(builder, root);
 }
 
@@ -114,6 +120,14 @@
   for (const Json::Value& id : root["unreached"]) {
     received.unreached.push_back(id.asString());
   }
+  for (const Json::Value& row : root["outcomes"]) {
+    if (!row.isArray() || row.size() != kOutcomeLength || !row[0].isString()) {
+      return std::nullopt;
+    }
+    entry::OutcomeCount& count = received.outcomes[row[0].asString()];
+    count.failures = row[1].asDouble();
+    count.answers = row[2].asDouble();
+  }
   for (const Json::Value& row : root["load"]) {
     if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
       return std::nullopt;
@@ -185,6 +199,13 @@
   if (load.list_age) {
     root["list_age_ms"] = Json::Int64{load.list_age->count()};
   }
+  for (const auto& [upstream, count] : load.outcomes) {
+    Json::Value row(Json::arrayValue);
+    row.append(upstream);
+    row.append(count.failures);
+    row.append(count.answers);
+    root["outcomes"].append(std::move(row));
+  }
   root["load"] = Json::Value(Json::arrayValue);
   for (const auto& [upstream, work] : load.load) {
     Json::Value row(Json::arrayValue);
--- /dev/null
+++ b/test/snipeturn/entry/health_test.cc
@@ -0,0 +1,118 @@
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/health.h"
+#include "snipeturn/entry/load.h"
+
+namespace snipeturn::entry {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Hosts with a list of ten engines that hear one another.
+class HealthFixture {
+ public:
+  explicit HealthFixture(int hosts = 40) {
+    for (int number = 0; number < hosts; ++number) {
+      hosts_.push_back(std::make_unique<EntryFixture>());
+      EntryFixture& host = *hosts_.back();
+      host.state.options.host = "host-" + std::to_string(number);
+      host.requests = static_cast<RequestKey>(number) * 1000;  // Ids differ, and so do choices.
+      for (int engine = 0; engine < 10; ++engine) {
+        host.List("engine-" + std::to_string(engine), "engines");
+      }
+    }
+  }
+
+  /// Lets the hosts get a stream each in turn; engine-0 breaks all. Every host hears the others each
+  /// half second. Returns the requests that failed.
+  int Play(std::chrono::milliseconds time) {
+    constexpr auto kGap = 10ms;
+    int failed = 0;
+    int turn = 0;
+    TimePoint told = now_;
+    for (const TimePoint until = now_ + time; now_ < until; now_ += kGap) {
+      EntryFixture& host = *hosts_[++turn % hosts_.size()];
+      host.now = now_;
+      host.Confirm();
+      host.Arrive("/long/a", 1000, 200);
+      for (const Send& send : host.All<Send>()) {
+        const bool fails = send.upstream == "engine-0";
+        failed += fails ? 1 : 0;
+        host.End(send.attempt,
+                 fails ? AttemptResult::kBroken : AttemptResult::kStreamFinished, 200);
+      }
+      if (now_ - told >= 500ms) {
+        told = now_;
+        Tell();
+      }
+    }
+    return failed;
+  }
+
+ private:
+  void Tell() {
+    for (const auto& from : hosts_) {
+      const PeerLoadReceived table = MakeLoadTable(from->state, now_);
+      for (const auto& to : hosts_) {
+        if (to != from) {
+          to->now = now_;
+          to->Do(table);
+        }
+      }
+    }
+  }
+
+  TimePoint now_{1000s};
+  std::vector<std::unique_ptr<EntryFixture>> hosts_;
+};
+
+// Guards against an engine that fails all it gets and looks free for it: each of many hosts had to
+// fail there by itself. Load: 100 streams a second over 40 hosts.
+TEST_CASE_METHOD(HealthFixture, "failingEngine_manyHosts_getsFewRequests", "[entry]") {
+  // Until the first tables come each host may fail.
+  CHECK(Play(600ms) > 0);
+  // An even share would be 60 of 600; a few find out whether it has recovered.
+  CHECK(Play(6s) < 30);
+}
+
+// Guards against errors that are no fault of the upstream, such as lookups that fail everywhere.
+TEST_CASE("upstream_fewErrorsOfMany_hasSmallShare", "[entry]") {
+  EntryFixture host;
+  host.List("plain-1", "plain");
+  OutcomeCount& outcomes = host.state.upstreams.at("plain-1").outcomes;
+  for (int answer = 0; answer < 100; ++answer) {
+    CountOutcome(outcomes, answer % 50 == 0, host.now);
+  }
+  CHECK(FailureShares(host.state, host.now).at("plain-1") < 0.03);
+}
+
+// Guards against an upstream that is never tried again, and against one that is tried by all at once.
+TEST_CASE("upstream_failuresOld_weighLess", "[entry]") {
+  EntryFixture host;
+  host.List("plain-1", "plain");
+  PeerLoadReceived load;
+  load.host = "host-2";
+  load.outcomes["plain-1"].failures = 20;
+  host.Do(load);
+  CHECK(FailureShares(host.state, host.now).at("plain-1") > 0.9);
+  CHECK(FailureShares(host.state, host.now + 2s).at("plain-1") > 0.6);
+  CHECK(FailureShares(host.state, host.now + 10s).empty());
+}
+
+// Guards against an upstream that hangs and is asked by every host until each has waited.
+TEST_CASE("request_noAnswerInTime_countsAsFailure", "[entry]") {
+  EntryFixture host;
+  host.time_limit = 900ms;
+  host.List("plain-1", "plain");
+  host.Arrive("/book/a");
+  host.Wait(1s);
+  CHECK(FailingUpstreams(host.state, host.now).at("plain-1").failures > 0.9);
+}
+
+}  // namespace
+}  // namespace snipeturn::entry
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -38,6 +38,8 @@
   load.configuration_offset = 33;
   load.list_age = std::chrono::milliseconds(120);
   load.load["engine-1"] = {3, 9000, 2000};
+  load.outcomes["engine-1"].failures = 2.5;
+  load.outcomes["engine-1"].answers = 12;
   entry::UpstreamListed listed;
   listed.offset = 12;
   listed.entry.id = "engine-1";
@@ -59,6 +61,8 @@
   CHECK_FALSE(received->configuration_age);
   CHECK(received->list_age == std::chrono::milliseconds(120));
   CHECK(received->load.at("engine-1").tokens == 9000);
+  CHECK(received->outcomes.at("engine-1").failures == 2.5);
+  CHECK(received->outcomes.at("engine-1").answers == 12);
   REQUIRE(received->recent_news.size() == 2);
   const auto& first = std::get<entry::UpstreamListed>(received->recent_news[0].notice);
   CHECK(first.entry.born == 1790101750402);
@@ -77,7 +81,8 @@
         R"({"host":"h","load":[],"recent":[7]})", R"({"host":"h","load":[],"recent":[[1,2]]})",
         R"({"host":"h","load":[],"recent":[[1,2,""]]})",
         R"({"host":"h","load":[],"recent":[[1,2,"e","s","a","x","z",1,true,0,0,0]]})",
-        R"({"host":"h","load":[],"news":"x"})", R"({"host":"h","asked_us":"x"})",
+        R"({"host":"h","load":[],"news":"x"})",
+        R"({"host":"h","load":[],"outcomes":[["e","x",1]]})", R"({"host":"h","asked_us":"x"})",
         R"({"host":"h","answered_us":1,"configuration":-1,"configuration_age_ms":1})",
         R"({"host":"h","answered_us":1,"configuration":1,"configuration_age_ms":-1})"}) {
     CHECK_FALSE(DecodePeerMessage(text));
