Place work last at engines that may be gone

Change: an upstream to which a connection failed or broke, here or at another host, and that was not heard of since, comes after the others, for 4 s, or until the list is read again. A copy's target that reports no room counts so unless it was heard of within a second.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -39,6 +39,8 @@
 constexpr double kUnknownGap = 0.04;
 /// Resumes of a copy that engines refuse before the stream is given up.
 constexpr int kMostRefusedResumes = 3;
+/// An engine that answered or made an event so short ago is there.
+constexpr std::chrono::milliseconds kSignOfLife{1000};
 /// A request is on its way to the engine for so long at most.
 constexpr std::chrono::milliseconds kWayToEngine{150};
 
@@ -105,6 +107,20 @@
           work.now - source->second.phase_since < work.state.options.bounds.drain - kWayToEngine);
 }
 
+/// A target without room may also be gone: the source can't reach it. Without a sign of life from
+/// there other moves try others first.
+void SuspectTarget(Work& work, const UpstreamId& id) {
+  const auto target = work.state.upstreams.find(id);
+  if (target == work.state.upstreams.end()) {
+    return;
+  }
+  Upstream& upstream = target->second;
+  if (!upstream.reached_at || work.now - *upstream.reached_at > kSignOfLife) {
+    upstream.unreached_at = work.now;
+    work.state.load_changes += 1;  // Other hosts are told at once.
+  }
+}
+
 void GiveUpMove(Work& work, Request& request, std::string_view reason) {
   Log(work, log_events::kMoveFailed,
       fmt::format("id={} source={} target={} reason={} rounds={} events={}", request.head.id,
@@ -279,6 +295,7 @@
   if (event.status != CopyStatus::kCopied) {
     if (event.status == CopyStatus::kNoRoom) {
       request.excluded.insert(move.target);
+      SuspectTarget(work, move.target);
     }
     GiveUpMove(work, request, "copy_refused");
     if (state.requests.count(event.request) > 0) {
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -75,7 +75,8 @@
     upstream.phase_since = work.now;
     return;
   }
-  if (event.result == AttemptResult::kUnsent) {
+  // A connection that breaks may be the first sign that the upstream is gone.
+  if (event.result == AttemptResult::kUnsent || event.result == AttemptResult::kBroken) {
     upstream.unreached_at = work.now;
   } else {
     upstream.reached_at = work.now;
@@ -206,6 +207,7 @@
       mean += kGapWeight * (gap - mean);
     }
     upstream->second.failures = 0;
+    upstream->second.reached_at = work.now;
   }
   request.phase = RequestPhase::kStreaming;
   request.events = std::max(request.events, event.events);
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -51,6 +51,7 @@
   }
   Upstream& upstream = found->second;
   if (!upstream.reached_at || work.now - *upstream.reached_at > kReachedOfLate) {
+    upstream.told_unreached_at = work.now;
     upstream.avoid_until = std::max(upstream.avoid_until, work.now + kAvoidUnreached);
   }
 }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -7,6 +7,7 @@
 #include "snipeturn/base/hash.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -30,7 +31,8 @@
 /// Upstreams that failed of late come after all others.
 constexpr double kAvoidPenalty = 10.0;
 constexpr double kFailurePenalty = 2.0;
-/// An entry that vanished while the store failed may have lapsed, or its upstream leaves.
+/// An entry that vanished while the store failed may have lapsed, or its upstream leaves; one that
+/// could not be reached may be gone, and looks free.
 constexpr double kLapsedPenalty = 5.0;
 /// Preference for the engine that is likely to have read a shared prefix.
 constexpr double kAffinityBonus = 0.05;
@@ -45,6 +47,10 @@
 /// link takes one after another.
 constexpr double kMoveJitter = 0.3;
 
+/// How long a failed connection counts while the list is read: the entry of an upstream that is
+/// gone vanishes by then.
+constexpr std::chrono::seconds kSuspectTime{4};
+
 /// Window of the cold limit.
 constexpr std::chrono::seconds kColdWindow{1};
 /// A host that was silent for so long has ended.
@@ -154,7 +160,7 @@
     if (now < upstream.avoid_until) {
       score += kAvoidPenalty;
     }
-    if (upstream.phase == UpstreamPhase::kLapsed) {
+    if (upstream.phase == UpstreamPhase::kLapsed || IsSuspect(state, upstream, now)) {
       score += kLapsedPenalty;
     }
     score += kFailurePenalty * std::max(0.0, ShareOf(failures, id) - mean_failures);
@@ -193,6 +199,14 @@
          state.evacuated_zones.count(upstream.entry.zone) == 0;
 }
 
+bool IsSuspect(const State& state, const Upstream& upstream, TimePoint now) {
+  const auto failed = std::max(upstream.unreached_at, upstream.told_unreached_at);
+  if (!failed || (upstream.reached_at && *upstream.reached_at > *failed)) {
+    return false;
+  }
+  return now - *failed < internal::kSuspectTime || !IsListKnown(state, now);
+}
+
 bool IsColdLimitReached(const State& state, const Upstream& upstream, TimePoint now) {
   if (now >= upstream.cold_until) {
     return false;
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -21,6 +21,10 @@
   double use{0};
 };
 
+/// @brief Tells whether an upstream may be gone although its entry stands: connections to it failed
+///     and nothing came from it since. While the list can't be read its entry says nothing.
+[[nodiscard]] bool IsSuspect(const State& state, const Upstream& upstream, TimePoint now);
+
 /// @brief Chooses an upstream for a request.
 ///
 /// Answers the load of long generations: engine memory binds before slots, and a prompt that is
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -26,9 +26,9 @@
 /// @brief How this host reads the configuration now.
 ///
 /// Two hosts wait at the store for changes and tell the others, which read at once then. The others
-/// ask them often enough to confirm the callers' keys, and read by themselves when the answers don't
-/// do; the age of a confirmation counts from the begin of the read, so one that waits is old when
-/// it ends.
+/// ask them often enough to confirm the callers' keys, and read by themselves when the answers
+/// don't do; the age of a confirmation counts from the begin of the read, so one that waits is old
+/// when it ends.
 [[nodiscard]] ConfigurationReads ReadsOfConfiguration(const State& state, TimePoint now);
 
 /// @brief Tells whether other hosts rely on this host to see changes of the upstream list.
--- a/test/snipeturn/entry/health_test.cc
+++ b/test/snipeturn/entry/health_test.cc
@@ -28,8 +28,8 @@
     }
   }
 
-  /// Lets the hosts get a stream each in turn; engine-0 breaks all. Every host hears the others each
-  /// half second. Returns the requests that failed.
+  /// Lets the hosts get a stream each in turn; engine-0 breaks all. Every host hears the others
+  /// each half second. Returns the requests that failed.
   int Play(std::chrono::milliseconds time) {
     constexpr auto kGap = 10ms;
     int failed = 0;
@@ -43,8 +43,8 @@
       for (const Send& send : host.All<Send>()) {
         const bool fails = send.upstream == "engine-0";
         failed += fails ? 1 : 0;
-        host.End(send.attempt,
-                 fails ? AttemptResult::kBroken : AttemptResult::kStreamFinished, 200);
+        host.End(send.attempt, fails ? AttemptResult::kBroken : AttemptResult::kStreamFinished,
+                 200);
       }
       if (now_ - told >= 500ms) {
         told = now_;
@@ -91,7 +91,8 @@
   CHECK(FailureShares(host.state, host.now).at("plain-1") < 0.03);
 }
 
-// Guards against an upstream that is never tried again, and against one that is tried by all at once.
+// Guards against an upstream that is never tried again, and against one that is tried by all at
+// once.
 TEST_CASE("upstream_failuresOld_weighLess", "[entry]") {
   EntryFixture host;
   host.List("plain-1", "plain");
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/placement.h"
 
 namespace snipeturn::entry {
 namespace {
@@ -50,6 +51,50 @@
   }
 }
 
+// Guards against an engine that looks free since its streams broke as it went, while the list can't
+// be read (incident 030b: three seconds later it was chosen for a copy).
+TEST_CASE_METHOD(MigrationFixture, "engine_streamBreaks_suspectUntilHeardOf", "[entry]") {
+  const Upstream& engine = state.upstreams.at("engine-1");
+  CHECK_FALSE(IsSuspect(state, engine, now));
+  End(send.attempt, AttemptResult::kBroken, 200);
+  CHECK(IsSuspect(state, engine, now + 10s));
+  now += 1s;
+  Do(ListConfirmed{now});
+  state.list_confirmed = now + 5s;  // The list is read all the while.
+  CHECK_FALSE(IsSuspect(state, engine, now + 5s));
+  Stream(3);
+  state.upstreams.at("engine-1").reached_at = now;
+  CHECK_FALSE(IsSuspect(state, engine, now));
+}
+
+// Guards against copies to engines that are gone, one after another until the source is gone too:
+// in an outage of the store their entries stand, and they look free (incident 030b).
+TEST_CASE_METHOD(MigrationFixture, "move_targetUnreachable_otherMovesTryOthers", "[entry]") {
+  now += 5s;  // The list was not read for long.
+  Confirm();
+  const Send other = Stream(5, 3000, 2000);
+  REQUIRE(other.upstream == "engine-2");
+  List("engine-3", "engines", "zone-b");
+  MakeEvents(send.attempt, 6);
+  // Engine 2 alone is known to live.
+  End(other.attempt, AttemptResult::kStreamFinished, 200);
+  now += 2s;
+  StartCopy copy = Notice();
+  const bool is_gone_first = copy.target == target.endpoint;
+  EndCopy(copy, CopyStatus::kNoRoom);
+  const UpstreamId gone = is_gone_first ? "engine-2" : "engine-3";
+  const UpstreamId rest = is_gone_first ? "engine-3" : "engine-2";
+  CHECK(IsSuspect(state, state.upstreams.at(gone), now));
+  CHECK_FALSE(IsSuspect(state, state.upstreams.at(rest), now));
+  // Another stream goes elsewhere at once, also when the engine looks free.
+  for (int request = 0; request < 5; ++request) {
+    CHECK(Stream(1, 3000, 500).upstream == rest);
+  }
+  // An event from there shows that it lives.
+  state.upstreams.at(gone).reached_at = now + 1ms;
+  CHECK_FALSE(IsSuspect(state, state.upstreams.at(gone), now + 1ms));
+}
+
 // Guards against a generation that dies with its reclaimed engine.
 TEST_CASE_METHOD(MigrationFixture, "stream_sourceLeaves_copiedThenStoppedThenResumed", "[entry]") {
   const StartCopy first = Notice();
--- a/test/snipeturn/limits/ramp_test.cc
+++ b/test/snipeturn/limits/ramp_test.cc
@@ -237,8 +237,8 @@
   CHECK(Limit("a") == 8);
 }
 
-// Guards against a host without work of its own there that takes young work of other hosts for small:
-// memory_test saw engines preempt.
+// Guards against a host without work of its own there that takes young work of other hosts for
+// small: memory_test saw engines preempt.
 TEST_CASE_METHOD(RampFixture, "memory_forecast_without_own_work_knows_the_usual_size", "[limits]") {
   catalog.upstreams["s/u"].cold_slots = 8;
   ApplyEverywhere();
