--- a/src/snipeturn/requests/work.h
+++ b/src/snipeturn/requests/work.h
@@ -16,8 +16,8 @@
 };
 
 /// How long an upstream may go on with work that nobody reads. Engines keep a generation without a
-/// reader for 15 s, and a cancellation may be lost, so a slot stays taken for that time and a second
-/// more, for the close's way to the engine and the engine's next step.
+/// reader for 15 s, and a cancellation may be lost, so a slot stays taken for that time and a
+/// second more, for the close's way to the engine and the engine's next step.
 inline constexpr std::chrono::seconds kCleanUpTime{16};
 
 /// @brief Name of the model or service whose upstreams may do the work.
