Count broken connections for the host that saw them

Cause: told to all hosts, each connection that broke would have put an upstream behind the others at every host that had not heard of it for 0.4 s; where half of the upstreams lose 3% of their answers, the other half would get all work. Change: a broken connection makes an upstream suspect for the host that saw it; the others know the recent failures.

--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -75,9 +75,10 @@
     upstream.phase_since = work.now;
     return;
   }
-  // A connection that breaks may be the first sign that the upstream is gone.
-  if (event.result == AttemptResult::kUnsent || event.result == AttemptResult::kBroken) {
+  if (event.result == AttemptResult::kUnsent) {
     upstream.unreached_at = work.now;
+  } else if (event.result == AttemptResult::kBroken) {
+    upstream.broken_at = work.now;
   } else {
     upstream.reached_at = work.now;
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -200,11 +200,15 @@
 }
 
 bool IsSuspect(const State& state, const Upstream& upstream, TimePoint now) {
-  const auto failed = std::max(upstream.unreached_at, upstream.told_unreached_at);
-  if (!failed || (upstream.reached_at && *upstream.reached_at > *failed)) {
-    return false;
+  const auto is_last_sign = [&upstream](const std::optional<TimePoint>& failed) {
+    return failed && (!upstream.reached_at || *upstream.reached_at <= *failed);
+  };
+  const auto own = std::max(upstream.unreached_at, upstream.broken_at);
+  if (is_last_sign(own) && now - *own < internal::kSuspectTime) {
+    return true;
   }
-  return now - *failed < internal::kSuspectTime || !IsListKnown(state, now);
+  return (is_last_sign(own) || is_last_sign(upstream.told_unreached_at)) &&
+         !IsListKnown(state, now);
 }
 
 bool IsColdLimitReached(const State& state, const Upstream& upstream, TimePoint now) {
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -22,7 +22,8 @@
 };
 
 /// @brief Tells whether an upstream may be gone although its entry stands: connections to it failed
-///     and nothing came from it since. While the list can't be read its entry says nothing.
+///     or broke and nothing came from it since. While the list can't be read its entry says
+///     nothing.
 [[nodiscard]] bool IsSuspect(const State& state, const Upstream& upstream, TimePoint now);
 
 /// @brief Chooses an upstream for a request.
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -65,8 +65,9 @@
   /// Failures in a row, as seen by this host's requests.
   int failures{0};
   TimePoint avoid_until{};
-  /// Last failed connection, and last answer or event, of this host.
+  /// Last failed connection, connection that broke, and answer or event, of this host.
   std::optional<TimePoint> unreached_at;
+  std::optional<TimePoint> broken_at;
   std::optional<TimePoint> reached_at;
   /// Last time that another host told of a failed connection.
   std::optional<TimePoint> told_unreached_at;
