--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -132,6 +132,8 @@
         await self.store.put("keyed.servers", upstream.name, upstream.entry())
 
     async def remove_upstream(self, upstream, crash):
+        if upstream not in self.upstreams:
+            return  # The other series of faults has removed it meanwhile.
         self.upstreams.remove(upstream)
         if not crash:
             upstream.leaving = True
