Learn the usual size of work on all engines of a service

Cause of the known red process_memory_test (1 of 12 runs failed here, three at a time; 4 of 24 with a trace of each grant): a host that owns one high slot of an engine rarely starts work there. It had learned the usual size on that engine alone, from a request of 2 tokens, so it took three young pieces of others' work (449 tokens) to need 150 each and computed a limit of 6 where 4 fit: it granted slot 5 (trace: limit=4 by the other hosts, usual=128 here). Ruled out: reports without memory, lengths forecast too short (353 for 352), work that starts before its report. The suspicion in KNOWN-RED.txt, a hold above a limit that fell, isn't the cause here; it remains unproved and stands in docs/promises.md. Change: the mean is learned over all upstreams of the service. Test: memory_forecast_learns_the_usual_size_on_all_engines failed before (limit 8, expected 4).

--- a/src/snipeturn/limits/limits.h
+++ b/src/snipeturn/limits/limits.h
@@ -184,8 +184,8 @@
   int base_limit{0};
   std::map<HostName, PeerHolds> peer_holds;
   std::optional<LoadReported> report;
-  /// Mean of the expected tokens of work that this host wanted to start here; 0 before any.
-  double usual_tokens{0};
+  /// Upstreams of one service get work of one kind, so its usual size is learned for them together.
+  std::string service;
   /// The load that is compared with heartbeats that follow it.
   std::optional<ComparedLoad> compared;
   /// Slots of removed hosts that stay blocked by work that no member accounts for.
@@ -198,6 +198,8 @@
   std::map<UpstreamName, UpstreamLimits> upstreams;
   /// Slots of zones with a limit, by zone.
   std::map<ZoneName, UpstreamLimits> zones;
+  /// Mean of the expected tokens of work that this host wanted to start, by service.
+  std::map<std::string, double> usual_tokens;
   std::map<HoldId, Hold> holds;
   HoldId next_hold{1};
   std::uint64_t next_loan{1};
--- a/src/snipeturn/limits/memory.cc
+++ b/src/snipeturn/limits/memory.cc
@@ -43,14 +43,15 @@
 
 }  // namespace
 
-void LearnUsualTokens(UpstreamLimits& limits, std::uint64_t expected) noexcept {
+void LearnUsualTokens(LimitsState& state, const std::string& service, std::uint64_t expected) {
   if (expected == 0) {
     return;  // Plain services hold no tokens.
   }
   const auto tokens = static_cast<double>(expected);
-  limits.usual_tokens = limits.usual_tokens == 0
-                            ? tokens
-                            : limits.usual_tokens + kUsualWeight * (tokens - limits.usual_tokens);
+  const auto [mean, is_new] = state.usual_tokens.try_emplace(service, tokens);
+  if (!is_new) {
+    mean->second += kUsualWeight * (tokens - mean->second);
+  }
 }
 
 std::optional<int> MemoryLimit(const LimitsState& state,
@@ -67,7 +68,8 @@
   // Other hosts' work is taken to be like this host's, of which the work that it wanted to start
   // before speaks while it runs none; without any, work is taken to double in size.
   const double mean_used = running > 0 ? used / running : 0.0;
-  const double usual = limits.usual_tokens > 0 ? limits.usual_tokens : 2 * mean_used;
+  const auto learned = state.usual_tokens.find(limits.service);
+  const double usual = learned != state.usual_tokens.end() ? learned->second : 2 * mean_used;
   const double size = std::max({1.0, own_total > 0 ? own.expected / own_total : usual, mean_used});
   const double factor =
       own.old_count > 0 ? std::clamp(running / own.old_count, 1.0, kMaxHostFactor) : 1.0;
--- a/src/snipeturn/limits/ownership.cc
+++ b/src/snipeturn/limits/ownership.cc
@@ -162,6 +162,7 @@
     const auto zone = catalog.zones.find(upstream.zone);
     const bool has_zone = zone != catalog.zones.end();
     UpstreamLimits& limits = state.upstreams[name];
+    limits.service = upstream.service;
     limits.served = ClassesServedBy(catalog, upstream);
     Configure(limits, upstream.slots, upstream.cold_slots,
               !upstream.leaving && (!has_zone || zone->second.in_service), now);
--- a/src/snipeturn/limits/resource.h
+++ b/src/snipeturn/limits/resource.h
@@ -15,9 +15,9 @@
 /// Level of the ramp in force.
 [[nodiscard]] int RampLevel(const UpstreamLimits& limits, const Tuning& tuning, const Now& now);
 
-/// @brief Learns how many tokens work usually needs that this host starts on an upstream.
+/// @brief Learns how many tokens work usually needs that this host starts on a service's upstreams.
 /// @param expected Expected tokens of a request; 0 for plain services.
-void LearnUsualTokens(UpstreamLimits& limits, std::uint64_t expected) noexcept;
+void LearnUsualTokens(LimitsState& state, const std::string& service, std::uint64_t expected);
 
 /// Pieces of work that the upstream's memory bears, or nothing without a report of memory.
 [[nodiscard]] std::optional<int> MemoryLimit(const LimitsState& state,
--- a/src/snipeturn/limits/slots.cc
+++ b/src/snipeturn/limits/slots.cc
@@ -237,7 +237,7 @@
     return std::nullopt;
   }
   UpstreamLimits& limits = found->second;
-  internal::LearnUsualTokens(limits, request.expected_tokens);
+  internal::LearnUsualTokens(state, limits.service, request.expected_tokens);
   const auto permission = PermissionEnds(membership, tuning, now);
   const auto choice = internal::Choose(state, request.upstream, limits, request.work_class,
                                        permission.has_value(), tuning, now);
--- a/test/cluster.h
+++ b/test/cluster.h
@@ -39,6 +39,7 @@
     catalog.zones["zone-a"] = zone;
     Upstream upstream;
     upstream.name = "s/u";
+    upstream.service = "s";
     upstream.kind = ServiceKind::kEngine;
     upstream.zone = "zone-a";
     upstream.slots = 8;
@@ -95,9 +96,10 @@
 
   std::optional<SlotGrant> Start(Node& node,
                                  WorkClass work_class = WorkClass::kCritical,
-                                 std::uint64_t expected_tokens = 0) {
+                                 std::uint64_t expected_tokens = 0,
+                                 const UpstreamName& upstream = "s/u") {
     auto grant = AcquireSlot(node.limits, node.membership, catalog,
-                             {"s/u", work_class, expected_tokens}, tuning, now, last_reason);
+                             {upstream, work_class, expected_tokens}, tuning, now, last_reason);
     return grant && now.monotonic < grant->start_before ? grant : std::nullopt;
   }
 
--- a/test/snipeturn/limits/ramp_test.cc
+++ b/test/snipeturn/limits/ramp_test.cc
@@ -251,6 +251,28 @@
   CHECK(Limit("a") == 4);
 }
 
+// Guards against a host that rarely starts work on an engine and takes others' work there to be as
+// small as the little work that it started itself: memory_test saw a fifth piece where four fit.
+TEST_CASE_METHOD(RampFixture, "memory_forecast_learns_the_usual_size_on_all_engines", "[limits]") {
+  catalog.upstreams["s/u"].cold_slots = 8;
+  catalog.upstreams["s/v"] = catalog.upstreams["s/u"];
+  catalog.upstreams["s/v"].name = "s/v";
+  ApplyEverywhere();
+  Run(seconds{3});
+  test::Node& node = nodes.at("a");
+  const auto small = Start(node, WorkClass::kCritical, 2);
+  REQUIRE(small);
+  End(node, small->hold);
+  for (int i = 0; i < 20; ++i) {
+    const auto grant = Start(node, WorkClass::kCritical, 350, "s/v");
+    REQUIRE(grant);
+    End(node, grant->hold);
+  }
+  Report(node, 3, 450, 1500);
+  // Each of the 3 grows to 350: 1050 of 1425 leave room for one more.
+  CHECK(Limit("a") == 4);
+}
+
 // Guards against growth that counts from now where the memory in use is that of an old report.
 TEST_CASE_METHOD(RampFixture, "memory_forecast_of_an_old_report_grows_from_its_time", "[limits]") {
   catalog.upstreams["s/u"].cold_slots = 8;
