--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -323,17 +323,16 @@
 }
 
 void EntryRuntime::TellPeers(TimePoint now) {
-  const entry::Audience audience =
-      entry::TakeAudience(telling_, state_, peers_->peer_count(), now);
+  const entry::Audience audience = entry::TakeAudience(telling_, state_, peers_->peer_count(), now);
   if (audience == entry::Audience::kNobody) {
     return;
   }
-  peers_->Broadcast(
-      EncodeLoad(entry::MakeLoadTable(state_, now)), [this, audience](const std::string& host) {
-        const auto peer = state_.peers.find(host);
-        return audience == entry::Audience::kAll || peer == state_.peers.end() ||
-               peer->second.zone == options_.entry.zone;
-      });
+  peers_->Broadcast(EncodeLoad(entry::MakeLoadTable(state_, now)),
+                    [this, audience](const std::string& host) {
+                      const auto peer = state_.peers.find(host);
+                      return audience == entry::Audience::kAll || peer == state_.peers.end() ||
+                             peer->second.zone == options_.entry.zone;
+                    });
 }
 
 void EntryRuntime::DoHousekeeping() {
