--- a/src/snipeturn/entry/telling.cc
+++ b/src/snipeturn/entry/telling.cc
@@ -19,8 +19,8 @@
 /// Mean time between two tables of changes; the more hosts there are the longer, so that a host
 /// gets at most some 400 tables a second.
 constexpr std::chrono::microseconds kIntervalPerPeer{2500};
-/// Tables of changes that a host may send at once after it was quiet; about as many as a host of
-/// 69 starts streams in the time in which their allowance comes back.
+/// Tables of changes that a host may send at once after it was quiet: enough for the streams of a
+/// burst, which start some 10 ms apart on one host.
 constexpr double kMostAllowance = 4;
 
 /// Lets the allowance grow with the time that has passed.
