--- /dev/null
+++ b/test/process/pause_test.py
@@ -0,0 +1,29 @@
+#!/usr/bin/env python3
+"""Fault test of a host that is stopped and continued; limits_test holds the other faults."""
+
+import time
+
+from cluster import main, wait_until
+from limits_test import Load, assert_slots_kept, start_cluster, wait_answered
+
+
+def host_stopped_and_continued_limits_hold(build):
+    """Guards against a host that wakes up and uses slots that were given away."""
+    with start_cluster(build) as cluster, Load(cluster, callers=24) as load:
+        wait_answered(load, 60)
+        host = cluster.hosts[0]
+        for _ in range(2):
+            host.pause()
+            time.sleep(2 * cluster.tuning["fence_ms"] / 1000)
+            host.resume()
+            wait_until(lambda: host.complete("awake", 2, 5).status == 200, 30, "it serves again",
+                       0.2)
+        load.stop()
+        assert_slots_kept(cluster)
+
+
+CASES = [(host_stopped_and_continued_limits_hold.__name__,
+          host_stopped_and_continued_limits_hold)]
+
+if __name__ == "__main__":
+    main("pause_test", CASES)
