Resume streams of routes that allow it, for callers and after a lost engine

Ruled out: a repeat by the server (its ids begin after the position it is sent). Now the position is decoded whole, passed on, and no event up to it reaches the caller; such streams are idempotent and go on with a new generation when their engine is lost, within the route's upstreams, the retry budget and the room. A position on another route is dropped as before.

--- a/src/snipeturn/entry/desired_state.h
+++ b/src/snipeturn/entry/desired_state.h
@@ -36,6 +36,8 @@
   int max_upstreams{1};
   /// Open to callers without a key.
   bool is_public{false};
+  /// A stream of this route may go on with a new generation after the events that its caller has.
+  bool is_resumable{false};
 };
 
 /// What a model engine can carry.
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -112,11 +112,12 @@
   }
   send.organisation = request.organisation;
   send.is_stream = request.kind == RouteKind::kStream;
-  send.is_idempotent = request.kind == RouteKind::kIdempotent;
+  send.is_idempotent = IsRepeatable(request);
   send.resume = std::move(resume);
-  request.attempts.push_back({send.attempt, upstream.entry.id, work.now, is_resume});
+  send.position = request.events;
+  request.attempts.push_back({send.attempt, upstream.entry.id, work.now, is_resume, !is_resume});
   request.sends += 1;
-  request.runs += 1;
+  request.runs += is_resume ? 0 : 1;
   if (request.phase == RequestPhase::kQueued) {
     request.phase = RequestPhase::kSent;
   }
@@ -145,7 +146,8 @@
       fmt::format("id={} route={} reason={} hold_ms={} prompt={} forecast={}", request.head.id,
                   request.route, request.last_reason, hold.count(), request.head.prompt_tokens,
                   request.expected_output_tokens));
-  Schedule(work.state.timers, {TimerKind::kEntryHold, request.key}, request.arrived + hold);
+  const TimePoint since = request.is_started ? work.now : request.arrived;
+  Schedule(work.state.timers, {TimerKind::kEntryHold, request.key}, since + hold);
 }
 
 void DispatchQueue(Work& work) {
@@ -179,6 +181,10 @@
     return;
   }
   const auto reason = result == PlacementResult::kNoRoom ? "no_room" : "no_upstream";
+  if (request.is_started) {
+    BreakRequest(work, request, reason);
+    return;
+  }
   if (request.runs > 0) {
     RefuseRequest(work, request, 502, reason);  // An earlier send may have run.
     return;
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -37,6 +37,8 @@
   /// A repeat of this request has no effect, so a connection that was idle for long may be used.
   bool is_idempotent{false};
   std::optional<Resume> resume;
+  /// Events of the stream that the caller has: a new generation goes on after them.
+  std::uint64_t position{0};
 };
 
 /// Close the connection of a send; nothing more of it is wanted.
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -31,6 +31,10 @@
   std::optional<std::uint64_t> expected_output_tokens;
   /// First part of the prompt, which other requests share; empty when there is none.
   std::string shared_prefix;
+  /// Events that the caller has from an earlier answer; counts on routes that may be resumed.
+  std::optional<std::uint64_t> position;
+  /// The caller names a position that can't be read.
+  bool has_bad_position{false};
 };
 
 struct RequestArrived {
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -9,6 +9,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/routing.h"
 
 namespace snipeturn::entry::internal {
@@ -105,6 +106,8 @@
   request.route = route.name;
   request.service = ChooseService(route, event.head.id);
   request.kind = route.kind;
+  request.is_resumable = route.kind == RouteKind::kStream && route.is_resumable;
+  request.events = request.is_resumable ? event.head.position.value_or(0) : 0;
   request.priority = route.priority;
   request.max_upstreams = std::max(1, route.max_upstreams);
   request.latency_objective = route.latency_objective;
@@ -120,19 +123,6 @@
   return request;
 }
 
-void ReleaseCopy(Work& work, const Request& request) {
-  if (!request.move) {
-    return;
-  }
-  const Move& move = *request.move;
-  if (move.step != MoveStep::kResuming && move.copy != 0) {
-    work.state.orphan_copies[move.copy] = {move.source, move.source_endpoint};
-  }
-  if (!move.handle.empty()) {
-    work.effects.push_back(DropCopy{move.source, move.source_endpoint, move.handle});
-  }
-}
-
 std::int64_t AgeMs(const Work& work, const Request& request) {
   return ToMilliseconds(work.now - request.arrived).count();
 }
@@ -166,6 +156,10 @@
     organisation = found->second.name;
     organisation_priority = found->second.priority;
   }
+  if (route->is_resumable && event.head.has_bad_position) {
+    RefuseArrival(work, event, 400, "bad_position");
+    return;
+  }
   if (route->services.empty()) {
     RefuseArrival(work, event, 503, "no_service", kOtherHostRetry);
     return;
@@ -188,12 +182,17 @@
   Enqueue(work, stored);
 }
 
-void EndRequest(Work& work, Request& request) {
-  State& state = work.state;
+void AbandonSends(Work& work, Request& request) {
   for (const Attempt& attempt : request.attempts) {
     work.effects.push_back(Abandon{attempt.key});
-    state.request_by_attempt.erase(attempt.key);
+    work.state.request_by_attempt.erase(attempt.key);
   }
+  request.attempts.clear();
+}
+
+void EndRequest(Work& work, Request& request) {
+  State& state = work.state;
+  AbandonSends(work, request);
   ReleaseCopy(work, request);
   for (const TimerKind kind : {TimerKind::kEntryFinalAnswer, TimerKind::kEntryHold,
                                TimerKind::kEntryHedge, TimerKind::kEntryMove}) {
@@ -266,7 +265,7 @@
       CountOutcome(upstream->second.outcomes, SendOutcome::kError, work.now);
     }
   }
-  if (request.phase == RequestPhase::kStreaming) {
+  if (request.is_started) {
     BreakRequest(work, request, "timeout");
   } else if (request.runs > 0) {
     RefuseRequest(work, request, 504, "timeout");
--- a/src/snipeturn/entry/lifecycle.h
+++ b/src/snipeturn/entry/lifecycle.h
@@ -38,6 +38,9 @@
 /// @brief The request's time is up.
 void ExpireRequest(Work& work, Request& request);
 
+/// @brief Closes the connections of all sends of a request.
+void AbandonSends(Work& work, Request& request);
+
 /// @brief Ends a request that has its answer: abandons what is left of it.
 void EndRequest(Work& work, Request& request);
 
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -59,7 +59,7 @@
       UpstreamLoad& load = table[attempt.upstream];
       load.requests += 1;
       load.tokens += tokens;
-      if (request.phase == RequestPhase::kSent) {
+      if (attempt.reads_prompt) {
         load.unread_tokens += request.head.prompt_tokens;
       }
     }
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/outcome.h"
 #include "snipeturn/entry/placement.h"
 
 namespace snipeturn::entry::internal {
@@ -79,20 +80,24 @@
                                    move.target_endpoint, final});
 }
 
+/// Gives up the copy and the sends of a stream whose generation is lost.
+void LoseMovedStream(Work& work, Request& request, AttemptResult result, std::string_view reason) {
+  AbandonSends(work, request);
+  ReleaseCopy(work, request);
+  request.move.reset();
+  LoseStream(work, request, result, reason);
+}
+
 /// Goes on with the copy at an engine.
 void ResumeAt(Work& work, Request& request, const UpstreamId& id) {
   const auto found = work.state.upstreams.find(id);
   if (found == work.state.upstreams.end()) {
-    BreakRequest(work, request, "move_target_gone");
+    LoseMovedStream(work, request, AttemptResult::kBroken, "move_target_gone");
     return;
   }
   Move& move = *request.move;
   move.step = MoveStep::kResuming;
-  for (const Attempt& attempt : request.attempts) {
-    work.effects.push_back(Abandon{attempt.key});
-    work.state.request_by_attempt.erase(attempt.key);
-  }
-  request.attempts.clear();
+  AbandonSends(work, request);
   Cancel(work.state.timers, {TimerKind::kEntryMove, request.key});
   CountStart(found->second, work.now);
   SendTo(work, request, found->second, Resume{move.source_endpoint, move.handle, request.events});
@@ -134,12 +139,25 @@
   }
   request.move.reset();
   if (request.attempts.empty()) {
-    BreakRequest(work, request, reason);
+    LoseStream(work, request, AttemptResult::kBroken, reason);
   }
 }
 
 }  // namespace
 
+void ReleaseCopy(Work& work, const Request& request) {
+  if (!request.move) {
+    return;
+  }
+  const Move& move = *request.move;
+  if (move.step != MoveStep::kResuming && move.copy != 0) {
+    work.state.orphan_copies[move.copy] = {move.source, move.source_endpoint};
+  }
+  if (!move.handle.empty()) {
+    work.effects.push_back(DropCopy{move.source, move.source_endpoint, move.handle});
+  }
+}
+
 void PlanMove(Work& work, const Request& request, std::chrono::milliseconds delay) {
   Schedule(work.state.timers, {TimerKind::kEntryMove, request.key}, work.now + delay);
 }
@@ -314,7 +332,8 @@
                      const Attempt& attempt,
                      const AttemptEnded& event) {
   if (!request.move) {
-    BreakRequest(work, request, "upstream_lost");
+    request.excluded.insert(attempt.upstream);
+    LoseStream(work, request, event.result, "upstream_lost");
     return;
   }
   Move& move = *request.move;
@@ -330,7 +349,8 @@
                            event.result == AttemptResult::kNotExecuted ||
                            event.result == AttemptResult::kWrongUpstream;
   if (!did_not_run || move.refused_resumes >= kMostRefusedResumes) {
-    BreakRequest(work, request, "resume_failed");
+    request.excluded.insert(attempt.upstream);
+    LoseMovedStream(work, request, event.result, "resume_failed");
     return;
   }
   const bool was_target = attempt.upstream == move.target;
--- a/src/snipeturn/entry/migration.h
+++ b/src/snipeturn/entry/migration.h
@@ -17,6 +17,9 @@
 /// @brief Lets a request look again whether it has to move.
 void PlanMove(Work& work, const Request& request, std::chrono::milliseconds delay);
 
+/// @brief Frees the copy of a request's generation, if it has one, now or when the open call ends.
+void ReleaseCopy(Work& work, const Request& request);
+
 /// @brief Starts or continues the move of a request whose timer fired.
 void AdvanceMove(Work& work, Request& request);
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -111,17 +111,17 @@
 /// Sends a request again, if it may be. True when it was sent or waits.
 bool Repeat(Work& work, Request& request, AttemptResult result) {
   const int most_sends = result == AttemptResult::kUnsent ? kMostUnsent : kMostSends;
-  const bool is_allowed = DidNotRun(result) ? request.sends < most_sends
-                                            : request.kind == RouteKind::kIdempotent &&
-                                                  request.runs < request.max_upstreams &&
-                                                  request.sends < kMostSends;
+  const bool is_allowed = DidNotRun(result)
+                              ? request.sends < most_sends
+                              : IsRepeatable(request) && request.runs < request.max_upstreams &&
+                                    request.sends < kMostSends;
   if (!is_allowed) {
     return false;
   }
   // An answer that could be passed on is not given up for a place in the queue.
+  const bool may_wait = DidNotRun(result) || request.is_started;
   const PlacementResult place = Place(work.state, request, work.now).result;
-  if (place == PlacementResult::kNoUpstream ||
-      (place == PlacementResult::kNoRoom && !DidNotRun(result))) {
+  if (place == PlacementResult::kNoUpstream || (place == PlacementResult::kNoRoom && !may_wait)) {
     return false;
   }
   // A connection that failed was no arrival at the service, so it draws on no budget.
@@ -139,6 +139,14 @@
 
 }  // namespace
 
+void LoseStream(Work& work, Request& request, AttemptResult result, std::string_view reason) {
+  if (request.is_resumable && Repeat(work, request, result)) {
+    CountOne(work, kEntryStreams, "resumed_anew");
+    return;
+  }
+  BreakRequest(work, request, reason);
+}
+
 void EndAttempt(Work& work, const AttemptEnded& event) {
   const auto key = work.state.request_by_attempt.find(event.attempt);
   if (key == work.state.request_by_attempt.end()) {
@@ -147,7 +155,7 @@
   Request& request = work.state.requests.at(key->second);
   const Attempt attempt = TakeAttempt(work, request, event.attempt);
   Judge(work, attempt, event);
-  if (DidNotRun(event.result)) {
+  if (DidNotRun(event.result) && !attempt.is_resume) {
     request.runs -= 1;
   }
   if (event.result == AttemptResult::kStreamFinished) {
@@ -155,7 +163,7 @@
     return;
   }
   const bool is_good = event.result == AttemptResult::kAnswered && event.relayable &&
-                       (event.status < 500 || request.kind != RouteKind::kIdempotent);
+                       (event.status < 500 || !IsRepeatable(request));
   if (!is_good) {
     request.last_reason = event.reason.empty() ? std::string(ReasonOf(event.result)) : event.reason;
     Log(work, log_events::kAttemptFailed,
@@ -168,12 +176,14 @@
     EndMovedAttempt(work, request, attempt, event);
     return;
   }
-  if (is_good) {
-    AnswerRequest(work, request, event.attempt, event.status);
+  if (request.is_started) {
+    // Also an answer that is no stream: it can't follow the events that the caller has.
+    request.excluded.insert(attempt.upstream);
+    LoseStream(work, request, event.result, "upstream_lost");
     return;
   }
-  if (request.phase == RequestPhase::kStreaming) {
-    BreakRequest(work, request, "upstream_lost");
+  if (is_good) {
+    AnswerRequest(work, request, event.attempt, event.status);
     return;
   }
   if (!request.attempts.empty()) {
@@ -204,6 +214,7 @@
                    [&event](const Attempt& item) { return item.key == event.attempt; });
   const auto upstream = work.state.upstreams.find(attempt->upstream);
   const bool is_first = request.phase != RequestPhase::kStreaming;
+  const bool is_first_of_answer = !request.is_started;
   if (upstream != work.state.upstreams.end()) {
     if (!is_first) {
       const double gap = std::chrono::duration<double>(work.now - request.last_event_at).count();
@@ -214,14 +225,18 @@
     upstream->second.reached_at = work.now;
   }
   request.phase = RequestPhase::kStreaming;
+  request.is_started = true;
+  attempt->reads_prompt = false;
   request.events = std::max(request.events, event.events);
   request.last_event_at = work.now;
   work.effects.push_back(RelayEvents{request.key, event.attempt});
-  if (is_first) {
+  if (is_first_of_answer) {
     work.effects.push_back(Observe{Distribution::kFirstToken, work.now - request.arrived});
     Log(work, log_events::kStreamStarted,
         fmt::format("id={} upstream={} after_ms={}", request.head.id, attempt->upstream,
                     ToMilliseconds(work.now - request.arrived).count()));
+  }
+  if (is_first) {
     DispatchQueue(work);
   }
   if (upstream == work.state.upstreams.end()) {
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -29,6 +29,8 @@
   TimePoint sent_at{};
   /// Goes on from the copy of a generation.
   bool is_resume{false};
+  /// No event has come, so the engine still reads the prompt.
+  bool reads_prompt{false};
 };
 
 enum class MoveStep : std::uint8_t {
@@ -71,6 +73,8 @@
   std::string service;
   std::string organisation;
   RouteKind kind{RouteKind::kNonIdempotent};
+  /// A stream that may go on with a new generation.
+  bool is_resumable{false};
   int priority{0};
   int max_upstreams{1};
   std::chrono::milliseconds latency_objective{0};
@@ -82,7 +86,7 @@
   std::vector<Attempt> attempts;
   /// Sends so far, whatever became of them.
   int sends{0};
-  /// Sends that may have run.
+  /// Sends that may have run; a generation that goes on from its copy is the same run.
   int runs{0};
   /// Upstreams that a repeat or a copy passes by.
   std::set<UpstreamId> excluded;
@@ -91,12 +95,19 @@
   /// Forecast of the whole output.
   std::uint64_t expected_output_tokens{0};
   std::uint64_t tokens_per_event{1};
-  /// Events released to the caller.
+  /// Number of the last event that the caller has, those of an earlier answer included.
   std::uint64_t events{0};
+  /// Events of this answer were released: it can only go on or break off.
+  bool is_started{false};
   TimePoint last_event_at{};
   std::optional<Move> move;
 };
 
+/// @brief Tells whether the request may run again after a run whose end is unknown.
+[[nodiscard]] constexpr bool IsRepeatable(const Request& request) noexcept {
+  return request.kind == RouteKind::kIdempotent || request.is_resumable;
+}
+
 /// @brief Tokens generated so far, as the caller has them.
 [[nodiscard]] constexpr std::uint64_t OutputTokens(const Request& request) noexcept {
   return request.events * request.tokens_per_event;
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "snipeturn/loop/entry_runtime.h"
@@ -47,6 +48,8 @@
     return;  // The caller has gone; its event is under way.
   }
   OpenRequest& open = found->second;
+  // Events up to the position are the caller's already; a server that repeats them is cut short.
+  open.last_event = std::max(open.last_event, send.position);
   entry::Send encoded = send;
   if (encoded.resume) {
     encoded.resume->events = open.last_event;
--- a/test/platform/entry_wire_test.cc
+++ b/test/platform/entry_wire_test.cc
@@ -109,6 +109,23 @@
   CHECK(Has(Encode(), "Kv-From: 10.0.0.9:8080/h-3\r\nLast-Event-Id: 17\r\n"));
 }
 
+// Guards against a caller's position that is lost on the way, or one that is read in part.
+TEST_CASE_METHOD(WireFixture, "request_position_decodedWholeOnly", "[platform]") {
+  CHECK_FALSE(wire.decode_request(head).head->position);
+  CHECK_FALSE(wire.decode_request(head).head->has_bad_position);
+  head.fields.push_back({"Last-Event-Id", "17"});
+  CHECK(wire.decode_request(head).head->position == 17U);
+  send.position = 17;
+  CHECK(Has(Encode(), "Last-Event-Id: 17\r\n"));
+  for (const char* text : {"", "x", "17x", "-1", "1.5", "99999999999999999999"}) {
+    head.fields.back().value = text;
+    CHECK(wire.decode_request(head).head->has_bad_position);
+  }
+  head.fields.back().value = "17";
+  head.fields.push_back({"last-event-id", "17"});
+  CHECK(wire.decode_request(head).head->has_bad_position);
+}
+
 TEST_CASE_METHOD(WireFixture, "answer_notes_decoded", "[platform]") {
   HttpHead answer;
   answer.status = 503;
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -8,7 +8,7 @@
 constexpr char kConfig[] = R"({"version":7,"routes":[
   {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"stream","timeout_ms":39000,
    "latency_target_ms":1800,"priority":1,"split":[{"service":"s1","weight":90},{"service":"s2","weight":10}],
-   "max_attempts":1,"public":false,"gap_target_ms":180},
+   "max_attempts":1,"public":false,"resumable":true,"gap_target_ms":180},
   {"name":"r2","host":"a.example","path_prefix":"/y/","kind":"safe","timeout_ms":1500.0,"service":"s2",
    "max_attempts":2,"public":true,"unknown":[1]}],
  "services":[{"name":"s1","health_path":"/health","max_conns":222,"cold_s":1.5,"cold_per_s":38.0,
@@ -27,6 +27,8 @@
   CHECK(desired->routes[0].services.size() == 2);
   CHECK(desired->routes[0].timeout == std::chrono::seconds(39));
   CHECK(desired->routes[1].is_public);
+  CHECK(desired->routes[0].is_resumable);
+  CHECK_FALSE(desired->routes[1].is_resumable);
   CHECK(desired->routes[1].timeout == std::chrono::milliseconds(1500));
   const entry::Service& service = desired->services.at("s1");
   CHECK(service.cold_time == std::chrono::milliseconds(1500));
