--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -24,6 +24,7 @@
 inline constexpr LogEvent kUpstreamAvoided{817, "upstream_avoided", LogLevel::kWarning};
 inline constexpr LogEvent kRecordUnreadable{818, "record_unreadable", LogLevel::kWarning};
 inline constexpr LogEvent kHosts{819, "hosts", LogLevel::kInfo};
+inline constexpr LogEvent kCell{820, "cell", LogLevel::kInfo};
 
 inline constexpr LogEvent kStoreLost{821, "store_lost", LogLevel::kWarning};
 inline constexpr LogEvent kStoreRegained{822, "store_regained", LogLevel::kInfo};
--- /dev/null
+++ b/src/snipeturn/entry/cells.cc
@@ -0,0 +1,185 @@
+#include "snipeturn/entry/cells.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "snipeturn/base/hash.h"
+#include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/health.h"
+#include "snipeturn/entry/load.h"
+
+namespace snipeturn::entry {
+namespace internal {
+namespace {
+
+/// Up to so many hosts each tells all others: at four tables a second a host gets some 500.
+constexpr int kMostDirectHosts = 128;
+/// Hosts of a cell at most, by which the messages of a host stay bounded.
+constexpr int kMostCellHosts = 64;
+/// A sum that is older counts no more, as a host's table does.
+constexpr std::chrono::milliseconds kCellLapse{3200};
+/// A host of the cell that was silent for so long tells no sum; one that does repeats its table
+/// every half second.
+constexpr std::chrono::milliseconds kTellerSilence{900};
+constexpr std::string_view kTeller = "cell sum";
+
+void AddOutcomes(CellOutcomes& sum, const OutcomeTable& table, TimePoint now) {
+  for (const auto& [id, count] : table) {
+    const OutcomeCount aged = AgedOutcomes(count, now);
+    CellOutcome& entry = sum[id];
+    entry.count.failures += aged.failures;
+    entry.count.answers += aged.answers;
+    entry.count.at = now;
+    entry.hosts += 1;
+  }
+}
+
+}  // namespace
+
+void AdoptHosts(Work& work, const HostsRead& event) {
+  State& state = work.state;
+  if (state.hosts != event.hosts) {
+    Log(work, log_events::kHosts, fmt::format("hosts={} before={}", event.hosts, state.hosts));
+    state.hosts = event.hosts;
+  }
+  state.cell_by_host.clear();
+  state.cells_in_zone = 1;
+  const std::string before = std::exchange(state.cell, "");
+  if (HasCells(state)) {
+    std::map<std::string, int> hosts_by_zone;
+    hosts_by_zone[state.options.zone] = 1;
+    for (const auto& [host, zone] : event.zones) {
+      ++hosts_by_zone[zone];
+    }
+    for (const auto& [host, zone] : event.zones) {
+      state.cell_by_host[host] = CellOf(host, zone, hosts_by_zone[zone]);
+    }
+    const int own_hosts = hosts_by_zone[state.options.zone];
+    state.cell = CellOf(state.options.host, state.options.zone, own_hosts);
+    state.cells_in_zone = (own_hosts + kMostCellHosts - 1) / kMostCellHosts;
+  } else {
+    state.cells.clear();
+  }
+  state.cell_hosts = 1 + static_cast<int>(std::count_if(
+                             state.cell_by_host.begin(), state.cell_by_host.end(),
+                             [&state](const auto& entry) { return entry.second == state.cell; }));
+  if (before != state.cell) {
+    Log(work, log_events::kCell,
+        fmt::format("cell={} before={} hosts={}", state.cell, before, state.cell_hosts));
+  }
+}
+
+void TakeCellLoad(Work& work, const CellLoadReceived& event) {
+  State& state = work.state;
+  if (!HasCells(state) || event.cell == state.cell) {
+    return;
+  }
+  CellLoad& cell = state.cells[event.cell];
+  cell.at = work.now;
+  cell.zone = event.zone;
+  cell.hosts = event.hosts;
+  cell.load = event.load;
+  cell.outcomes = event.outcomes;
+  for (auto& [id, outcome] : cell.outcomes) {
+    outcome.count.at = work.now;
+  }
+  if (!event.is_passed_on) {
+    work.effects.push_back(PassCellLoadOn{event});
+  }
+  DispatchQueue(work);
+}
+
+}  // namespace internal
+
+std::string CellOf(std::string_view host, std::string_view zone, int hosts_in_zone) {
+  const int parts = (hosts_in_zone + internal::kMostCellHosts - 1) / internal::kMostCellHosts;
+  if (parts <= 1) {
+    return std::string(zone);
+  }
+  return fmt::format("{}/{}", zone, Hash(host) % static_cast<std::uint64_t>(parts));
+}
+
+bool HasCells(const State& state) noexcept {
+  return state.hosts > internal::kMostDirectHosts;
+}
+
+bool IsInOwnCell(const State& state, const std::string& host) {
+  const auto found = state.cell_by_host.find(host);
+  if (found != state.cell_by_host.end()) {
+    return found->second == state.cell;
+  }
+  const auto peer = state.peers.find(host);
+  return peer == state.peers.end() || peer->second.zone == state.options.zone;
+}
+
+int CellHosts(const State& state) noexcept {
+  return HasCells(state) ? state.cell_hosts : state.hosts;
+}
+
+bool IsFresh(const CellLoad& cell, TimePoint now) noexcept {
+  return now - cell.at <= internal::kCellLapse;
+}
+
+bool CountsDirectly(const State& state, const PeerLoad& peer, TimePoint now) {
+  if (peer.cell == state.cell) {
+    return true;
+  }
+  const auto cell = state.cells.find(peer.cell);
+  return cell == state.cells.end() || !IsFresh(cell->second, now);
+}
+
+bool IsZoneHeard(const State& state, const std::string& zone, TimePoint now) {
+  return !HasCells(state) || zone == state.options.zone ||
+         std::any_of(state.cells.begin(), state.cells.end(), [&](const auto& entry) {
+           return entry.second.zone == zone && IsFresh(entry.second, now);
+         });
+}
+
+bool IsCellTeller(const State& state, TimePoint now) {
+  const std::uint64_t own = RendezvousWeight(internal::kTeller, state.options.host);
+  return HasCells(state) &&
+         std::none_of(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
+           const auto& [host, peer] = entry;
+           return peer.cell == state.cell && !peer.is_stopping &&
+                  now - peer.at < internal::kTellerSilence &&
+                  RendezvousWeight(internal::kTeller, host) > own;
+         });
+}
+
+CellLoadReceived MakeCellLoad(const State& state, TimePoint now) {
+  CellLoadReceived sum;
+  sum.cell = state.cell;
+  sum.zone = state.options.zone;
+  sum.hosts = 1;
+  sum.load = OwnLoad(state);
+  internal::AddOutcomes(sum.outcomes, FailingUpstreams(state, now), now);
+  for (const auto& [host, peer] : state.peers) {
+    if (peer.cell == state.cell && now - peer.at <= internal::kCellLapse) {
+      sum.hosts += 1;
+      internal::Add(sum.load, peer.load);
+      internal::AddOutcomes(sum.outcomes, peer.outcomes, now);
+    }
+  }
+  return sum;
+}
+
+std::vector<std::string> CellTargets(const State& state, std::uint64_t round) {
+  std::map<std::string, std::vector<const std::string*>> hosts_by_cell;
+  for (const auto& [host, cell] : state.cell_by_host) {
+    if (cell != state.cell) {
+      hosts_by_cell[cell].push_back(&host);
+    }
+  }
+  std::vector<std::string> targets;
+  targets.reserve(hosts_by_cell.size());
+  for (const auto& [cell, hosts] : hosts_by_cell) {
+    targets.push_back(*hosts[round % hosts.size()]);
+  }
+  return targets;
+}
+
+}  // namespace snipeturn::entry
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -11,6 +11,7 @@
 #include "snipeturn/base/log_event.h"
 #include "snipeturn/base/metric.h"
 #include "snipeturn/base/time.h"
+#include "snipeturn/entry/event.h"
 #include "snipeturn/entry/fwd.h"
 
 namespace snipeturn::entry {
@@ -107,6 +108,11 @@
 /// Read the configuration now: another host has read further.
 struct ReadConfiguration {};
 
+/// Pass the sum of another cell on to the hosts of this one.
+struct PassCellLoadOn {
+  CellLoadReceived sum;
+};
+
 /// Ask another host how far it has read the configuration.
 struct AskConfirmation {
   std::string host;
@@ -143,6 +149,7 @@
                             ReadReport,
                             ReadList,
                             ReadConfiguration,
+                            PassCellLoadOn,
                             AskConfirmation,
                             AnswerConfirmation,
                             ForgetUpstream,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -178,6 +179,8 @@
 struct HostsRead {
   /// Hosts seen in the store of late, this one included.
   int hosts{1};
+  /// Availability zones of the others; a host that names none is left out.
+  std::map<std::string, std::string> zones;
 };
 
 /// What a host learned from the store and the others should know at once.
@@ -190,6 +193,8 @@
 struct PeerLoadReceived {
   std::string host;
   std::string zone;
+  /// Cell for which the host tells its load; empty where there are none.
+  std::string cell;
   /// The host has been told to stop and takes no new callers.
   bool is_stopping{false};
   /// Number of the host's last news.
@@ -210,6 +215,17 @@
   OutcomeTable outcomes;
 };
 
+/// Sum of the load of the hosts of a cell.
+struct CellLoadReceived {
+  std::string cell;
+  std::string zone;
+  int hosts{0};
+  LoadTable load;
+  CellOutcomes outcomes;
+  /// A host of this cell got it from the other cell.
+  bool is_passed_on{false};
+};
+
 /// Another host asks how far this one has read the configuration.
 struct ConfirmationAsked {
   std::string host;
@@ -251,6 +267,7 @@
                            StoreFailed,
                            HostsRead,
                            PeerLoadReceived,
+                           CellLoadReceived,
                            ConfirmationAsked,
                            ConfirmationAnswered,
                            OptionsChanged,
--- a/src/snipeturn/entry/fwd.h
+++ b/src/snipeturn/entry/fwd.h
@@ -12,6 +12,7 @@
 /// Identity of one life of an upstream; a restart has a new one or the same one with a new birth.
 using UpstreamId = std::string;
 
+struct CellLoad;
 struct DesiredState;
 struct Request;
 struct Route;
--- a/src/snipeturn/entry/health.cc
+++ b/src/snipeturn/entry/health.cc
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <string>
 
+#include "snipeturn/entry/cells.h"
+
 namespace snipeturn::entry {
 namespace internal {
 namespace {
@@ -106,7 +108,7 @@
   }
   int hosts = 1;
   for (const auto& [host, peer] : state.peers) {
-    if (now - peer.at > internal::kSilence) {
+    if (now - peer.at > internal::kSilence || !CountsDirectly(state, peer, now)) {
       continue;
     }
     ++hosts;
@@ -114,6 +116,19 @@
       internal::Add(sums[id], AgedOutcomes(told, now));
     }
   }
+  for (const auto& [name, cell] : state.cells) {
+    if (!IsFresh(cell, now)) {
+      continue;
+    }
+    hosts += cell.hosts;
+    for (const auto& [id, told] : cell.outcomes) {
+      const OutcomeCount aged = AgedOutcomes(told.count, now);
+      internal::SumOfHosts& sum = sums[id];
+      sum.failures += aged.failures;
+      sum.answers += aged.answers;
+      sum.hosts += told.hosts;
+    }
+  }
   std::map<UpstreamId, double> shares;
   if (sums.empty()) {
     return shares;
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -192,6 +192,7 @@
 
 void EndRequest(Work& work, Request& request) {
   State& state = work.state;
+  state.load_reliefs += request.kind == RouteKind::kStream ? 1 : 0;
   AbandonSends(work, request);
   ReleaseCopy(work, request);
   for (const TimerKind kind : {TimerKind::kEntryFinalAnswer, TimerKind::kEntryHold,
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -1,5 +1,6 @@
 #include "snipeturn/entry/load.h"
 
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/readers.h"
@@ -17,12 +18,23 @@
 constexpr std::chrono::milliseconds kNewsRepeat{1200};
 
 }  // namespace
+
+void Add(LoadTable& sum, const LoadTable& table) {
+  for (const auto& [id, load] : table) {
+    UpstreamLoad& entry = sum[id];
+    entry.requests += load.requests;
+    entry.tokens += load.tokens;
+    entry.unread_tokens += load.unread_tokens;
+  }
+}
+
 }  // namespace internal
 
 PeerLoadReceived MakeLoadTable(const State& state, TimePoint now) {
   PeerLoadReceived table;
   table.host = state.options.host;
   table.zone = state.options.zone;
+  table.cell = state.cell;
   table.is_stopping = state.is_stopping;
   table.news = state.news;
   for (const State::RecentNews& recent : state.recent_news) {
@@ -85,14 +97,13 @@
 LoadTable TotalLoad(const State& state, TimePoint now) {
   LoadTable table = OwnLoad(state);
   for (const auto& [host, peer] : state.peers) {
-    if (now - peer.at > internal::kPeerLapse) {
-      continue;
+    if (now - peer.at <= internal::kPeerLapse && CountsDirectly(state, peer, now)) {
+      internal::Add(table, peer.load);
     }
-    for (const auto& [upstream, load] : peer.load) {
-      UpstreamLoad& sum = table[upstream];
-      sum.requests += load.requests;
-      sum.tokens += load.tokens;
-      sum.unread_tokens += load.unread_tokens;
+  }
+  for (const auto& [name, cell] : state.cells) {
+    if (IsFresh(cell, now)) {
+      internal::Add(table, cell.load);
     }
   }
   return table;
--- a/src/snipeturn/entry/load.h
+++ b/src/snipeturn/entry/load.h
@@ -18,6 +18,13 @@
 /// @return The table.
 [[nodiscard]] LoadTable TotalLoad(const State& state, TimePoint now);
 
+namespace internal {
+
+/// @brief Adds the work of one table to another.
+void Add(LoadTable& sum, const LoadTable& table);
+
+}  // namespace internal
+
 /// @brief Upstreams to which this host's connections failed in the last moments.
 [[nodiscard]] std::vector<UpstreamId> UnreachedUpstreams(const State& state, TimePoint now);
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -226,6 +226,7 @@
   }
   request.phase = RequestPhase::kStreaming;
   request.is_started = true;
+  work.state.load_reliefs += attempt->reads_prompt ? 1 : 0;
   attempt->reads_prompt = false;
   request.events = std::max(request.events, event.events);
   request.last_event_at = work.now;
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/knowledge.h"
@@ -77,6 +78,7 @@
   const bool is_store_back = HasReadAgain(peer, event, work.now);
   peer.at = work.now;
   peer.zone = event.zone;
+  peer.cell = event.cell;
   peer.is_stopping = event.is_stopping;
   peer.news = event.news;
   peer.list_confirmed =
@@ -97,7 +99,10 @@
       state.peers.begin(), state.peers.end(),
       [&work](const auto& entry) { return work.now - entry.second.at < kHeardOfLate; });
   state.hosts = std::max(state.hosts, static_cast<int>(heard) + 1);
-  if (has_gap) {
+  // The list's readers tell all hosts what changes; what another host saw first comes from them
+  // too.
+  const bool is_relied_on = !HasCells(state) || event.list_age;
+  if (has_gap && is_relied_on) {
     work.effects.push_back(ReadList{});
   }
   // A store that this host can't reach is asked again when another host reaches it again, and
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "snipeturn/base/hash.h"
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/readers.h"
@@ -26,6 +27,11 @@
 constexpr double kPlainOverload = 2.0;
 /// A server in another availability zone has to be freer by this share of its room.
 constexpr double kZonePenalty = 0.1;
+/// With cells the load of other zones is some 200 ms older than that of the own one, and the own
+/// zone's engines are enough to even out its load.
+constexpr double kCellZonePenalty = 0.2;
+/// Nothing is heard of the work of the upstream's zone.
+constexpr double kUnheardPenalty = 0.5;
 /// For a copy: a move between zones takes twice as long.
 constexpr double kMoveZonePenalty = 0.5;
 /// Upstreams that failed of late come after all others.
@@ -138,6 +144,7 @@
   const Shares failures = FailureShares(state, now);
   const double mean_failures = MeanShare(state, request.service, failures);
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
+  const double zone_penalty = HasCells(state) ? kCellZonePenalty : kZonePenalty;
   Placement best;
   double best_score = std::numeric_limits<double>::max();
   for (const auto& [id, upstream] : state.upstreams) {
@@ -158,10 +165,13 @@
     }
     const double jitter = source != nullptr
                               ? kMoveJitter
-                              : std::min(kMostJitter, kJitter + kJitterPerHost * state.hosts);
+                              : std::min(kMostJitter, kJitter + kJitterPerHost * CellHosts(state));
     double score = scored.score + jitter * UnitHash(request.head.id, id);
     if (upstream.entry.zone != home_zone) {
-      score += source != nullptr ? kMoveZonePenalty : kZonePenalty;
+      score += source != nullptr ? kMoveZonePenalty : zone_penalty;
+    }
+    if (!IsZoneHeard(state, upstream.entry.zone, now)) {
+      score += kUnheardPenalty;
     }
     if (now < upstream.avoid_until) {
       score += kAvoidPenalty;
@@ -193,7 +203,8 @@
   const std::uint64_t own = RendezvousWeight(upstream, state.options.host);
   return static_cast<int>(
       std::count_if(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
-        return now - entry.second.at < kHostLapse && RendezvousWeight(upstream, entry.first) > own;
+        return now - entry.second.at < kHostLapse && entry.second.cell == state.cell &&
+               RendezvousWeight(upstream, entry.first) > own;
       }));
 }
 
@@ -225,11 +236,16 @@
   if (service == nullptr || service->cold_requests_per_second <= 0) {
     return false;
   }
-  const double share = std::floor(service->cold_requests_per_second / std::max(1, state.hosts));
+  // With cells only the hosts of the upstream's own zone start work there, as they hear one
+  // another.
+  if (HasCells(state) && upstream.entry.zone != state.options.zone) {
+    return true;
+  }
+  const double allowed = service->cold_requests_per_second / std::max(1, state.cells_in_zone);
+  const double share = std::floor(allowed / std::max(1, CellHosts(state)));
   if (share < 1) {
     // More hosts than starts a second: as many hosts as that start one each.
-    return internal::HostsBefore(state, upstream.entry.id, now) >=
-               static_cast<int>(service->cold_requests_per_second) ||
+    return internal::HostsBefore(state, upstream.entry.id, now) >= static_cast<int>(allowed) ||
            internal::HasStarted(upstream, 1, now);
   }
   return internal::HasStarted(upstream, share, now);
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -7,6 +7,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/knowledge.h"
@@ -111,13 +112,11 @@
         } else if constexpr (std::is_same_v<Item, StoreFailed>) {
           FailStore(work, item);
         } else if constexpr (std::is_same_v<Item, HostsRead>) {
-          if (state.hosts != item.hosts) {
-            Log(work, log_events::kHosts,
-                fmt::format("hosts={} before={}", item.hosts, state.hosts));
-            state.hosts = item.hosts;
-          }
+          AdoptHosts(work, item);
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
           TakePeerLoad(work, item);
+        } else if constexpr (std::is_same_v<Item, CellLoadReceived>) {
+          TakeCellLoad(work, item);
         } else if constexpr (std::is_same_v<Item, ConfirmationAsked>) {
           AnswerReaderQuestion(work, item);
         } else if constexpr (std::is_same_v<Item, ConfirmationAnswered>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -37,6 +37,8 @@
 struct PeerLoad {
   TimePoint at{};
   std::string zone;
+  /// The cell for which it tells its load; empty when it tells all hosts.
+  std::string cell;
   bool is_stopping{false};
   /// Number of the last news that was received, or known not to concern this host.
   std::uint64_t news{0};
@@ -49,6 +51,16 @@
   OutcomeTable outcomes;
 };
 
+/// Sum of the load of another cell's hosts.
+struct CellLoad {
+  TimePoint at{};
+  std::string zone;
+  /// Hosts that the sum covers.
+  int hosts{0};
+  LoadTable load;
+  CellOutcomes outcomes;
+};
+
 /// A copy whose request has ended while the call was open.
 struct OrphanCopy {
   UpstreamId source;
@@ -76,6 +88,15 @@
   /// Offset of the newest record known of each upstream, of those that are gone too.
   std::map<UpstreamId, std::uint64_t> list_offsets;
   std::map<std::string, PeerLoad> peers;
+  /// This host's cell; empty where there are so few hosts that all tell one another.
+  std::string cell;
+  /// Hosts of this host's cell, itself included.
+  int cell_hosts{1};
+  int cells_in_zone{1};
+  /// Cells of the other hosts that the store names.
+  std::map<std::string, std::string> cell_by_host;
+  /// The other cells.
+  std::map<std::string, CellLoad> cells;
   std::map<RequestKey, Request> requests;
   std::map<AttemptKey, RequestKey> request_by_attempt;
   std::map<std::uint64_t, OrphanCopy> orphan_copies;
@@ -90,6 +111,8 @@
   /// Raised when work at an engine begins here, so that other hosts place by it at once; its end is
   /// told with the next table.
   std::uint64_t load_changes{0};
+  /// Raised when a prompt has been read or work at an engine ends.
+  std::uint64_t load_reliefs{0};
   AttemptKey next_attempt{1};
   std::uint64_t next_copy{1};
   bool is_stopping{false};
--- a/src/snipeturn/entry/telling.cc
+++ b/src/snipeturn/entry/telling.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry {
@@ -34,10 +35,54 @@
   telling.allowance_at = now;
 }
 
+/// Within a cell an unchanged table is told again after so long, by hosts on which nobody relies.
+constexpr std::chrono::milliseconds kCellRepeat{1400};
+/// Work that ends is told after so long: the other hosts see more load than there is till then.
+constexpr std::chrono::milliseconds kReliefInterval{100};
+/// Time between two sums of a cell. The rounds of housekeeping are 100 ms.
+constexpr std::chrono::milliseconds kCellInterval{190};
+
+/// The audience where load is told within cells: all hosts hear what the readers of the store tell,
+/// and the rest only the hosts of the cell.
+Audience TakeCellAudience(Telling& telling, const State& state, TimePoint now) {
+  // A host that has heard nobody yet can't tell whether it is a reader.
+  const bool is_reader =
+      !state.peers.empty() && (IsListReader(state, now) || IsConfigurationReader(state, now));
+  const bool has_news = telling.news != state.news || telling.configuration != state.store.offset;
+  const bool has_changed = telling.changes != state.load_changes;
+  const bool has_relief = telling.reliefs != state.load_reliefs;
+  const auto since = now - telling.told_at;
+  Refill(telling, static_cast<std::size_t>(CellHosts(state)), now);
+  const auto repeat = is_reader || IsCellTeller(state, now) ? kLoadRepeat : kCellRepeat;
+  const auto least = has_changed ? kLeastInterval : kReliefInterval;
+  const bool is_due = has_news                    ? since >= kLeastInterval
+                      : has_changed || has_relief ? since >= least && telling.allowance >= 1
+                                                  : since >= repeat;
+  if (!is_due) {
+    return Audience::kNobody;
+  }
+  if (has_changed || has_relief) {
+    telling.allowance = std::max(0.0, telling.allowance - 1);
+  }
+  telling.changes = state.load_changes;
+  telling.reliefs = state.load_reliefs;
+  telling.news = state.news;
+  telling.configuration = state.store.offset;
+  telling.told_at = now;
+  if (is_reader && (has_news || now - telling.told_all_at >= kLoadRepeat)) {
+    telling.told_all_at = now;
+    return Audience::kAll;
+  }
+  return Audience::kOwnCell;
+}
+
 }  // namespace
 }  // namespace internal
 
 Audience TakeAudience(Telling& telling, const State& state, std::size_t peers, TimePoint now) {
+  if (HasCells(state)) {
+    return internal::TakeCellAudience(telling, state, now);
+  }
   const bool has_news = telling.news != state.news;
   const bool has_changed = telling.changes != state.load_changes;
   const auto since = now - telling.told_at;
@@ -63,4 +108,28 @@
   return is_for_all ? Audience::kAll : Audience::kOwnZone;
 }
 
+bool IsInAudience(const State& state, Audience audience, const std::string& host) {
+  switch (audience) {
+    case Audience::kNobody:
+      return false;
+    case Audience::kOwnZone: {
+      const auto peer = state.peers.find(host);
+      return peer == state.peers.end() || peer->second.zone == state.options.zone;
+    }
+    case Audience::kOwnCell:
+      return IsInOwnCell(state, host);
+    case Audience::kAll:
+      return true;
+  }
+  return true;
+}
+
+std::vector<std::string> TakeCellTargets(Telling& telling, const State& state, TimePoint now) {
+  if (now - telling.cell_told_at < internal::kCellInterval || !IsCellTeller(state, now)) {
+    return {};
+  }
+  telling.cell_told_at = now;
+  return CellTargets(state, telling.cell_rounds++);
+}
+
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/telling.h
+++ b/src/snipeturn/entry/telling.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
+#include <vector>
 
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/state.h"
@@ -12,15 +14,21 @@
 struct Telling {
   std::uint64_t changes{0};
   std::uint64_t news{0};
+  std::uint64_t reliefs{0};
+  /// Offset of the configuration.
+  std::uint64_t configuration{0};
   TimePoint told_at{};
   TimePoint told_all_at{};
   /// Tables of changes that may be sent at once, as of `allowance_at`.
   double allowance{0};
   TimePoint allowance_at{};
+  /// Sums of the cell that were told.
+  std::uint64_t cell_rounds{0};
+  TimePoint cell_told_at{};
 };
 
 /// Receivers of a load table.
-enum class Audience : std::uint8_t { kNobody, kOwnZone, kAll };
+enum class Audience : std::uint8_t { kNobody, kOwnZone, kOwnCell, kAll };
 
 /// @brief Decides whether the load table is due, and counts it as told.
 ///
@@ -37,4 +45,13 @@
                                     std::size_t peers,
                                     TimePoint now);
 
+/// @brief Tells whether a host belongs to an audience.
+[[nodiscard]] bool IsInAudience(const State& state, Audience audience, const std::string& host);
+
+/// @brief Decides whether the sum of the cell is due, and counts it as told.
+/// @return Hosts that are to be told now; none when this host doesn't tell the sum.
+[[nodiscard]] std::vector<std::string> TakeCellTargets(Telling& telling,
+                                                       const State& state,
+                                                       TimePoint now);
+
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -83,6 +83,14 @@
 
 using LoadTable = std::map<UpstreamId, UpstreamLoad>;
 using OutcomeTable = std::map<UpstreamId, OutcomeCount>;
+
+/// Ends of sends at an upstream, of those hosts of a cell that saw failures there.
+struct CellOutcome {
+  OutcomeCount count;
+  int hosts{0};
+};
+
+using CellOutcomes = std::map<UpstreamId, CellOutcome>;
 using UpstreamTable = std::map<UpstreamId, Upstream>;
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -10,6 +10,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/loop/boot_clock.h"
 
@@ -288,6 +289,8 @@
           if (on_configuration_wanted_) {
             on_configuration_wanted_();
           }
+        } else if constexpr (std::is_same_v<Item, entry::PassCellLoadOn>) {
+          PassCellLoadOn(std::move(item.sum));
         } else if constexpr (std::is_same_v<Item, entry::AskConfirmation>) {
           peers_->Send(EncodeQuestion(options_.entry.host, item), item.host);
         } else if constexpr (std::is_same_v<Item, entry::AnswerConfirmation>) {
@@ -318,8 +321,8 @@
   }
 }
 
-void EntryRuntime::SetPeers(std::map<std::string, Endpoint> peers) {
-  peers_->SetPeers(std::move(peers));
+void EntryRuntime::SetPeers(const std::map<std::string, Endpoint>& peers) {
+  peers_->SetPeers(peers);
 }
 
 void EntryRuntime::TellPeers(TimePoint now) {
@@ -329,15 +332,33 @@
   }
   peers_->Broadcast(EncodeLoad(entry::MakeLoadTable(state_, now)),
                     [this, audience](const std::string& host) {
-                      const auto peer = state_.peers.find(host);
-                      return audience == entry::Audience::kAll || peer == state_.peers.end() ||
-                             peer->second.zone == options_.entry.zone;
+                      return entry::IsInAudience(state_, audience, host);
                     });
 }
 
+void EntryRuntime::TellCells(TimePoint now) {
+  const std::vector<std::string> targets = entry::TakeCellTargets(telling_, state_, now);
+  if (targets.empty()) {
+    return;
+  }
+  const std::string datagram =
+      EncodeCellLoad(options_.entry.host, entry::MakeCellLoad(state_, now));
+  for (const std::string& host : targets) {
+    peers_->Send(datagram, host);
+  }
+}
+
+void EntryRuntime::PassCellLoadOn(entry::CellLoadReceived sum) {
+  sum.is_passed_on = true;
+  peers_->Broadcast(EncodeCellLoad(options_.entry.host, sum), [this](const std::string& host) {
+    return entry::IsInAudience(state_, entry::Audience::kOwnCell, host);
+  });
+}
+
 void EntryRuntime::DoHousekeeping() {
   const TimePoint now = BootTime();
   TellPeers(now);
+  TellCells(now);
   const ConnectionLimits limits = CurrentLimits();
   std::vector<std::shared_ptr<CallerConnection>> connections;
   connections.reserve(connections_.size());
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -56,7 +56,7 @@
   void Apply(entry::Event event);
 
   /// @brief Takes the endpoints of the other hosts.
-  void SetPeers(std::map<std::string, Endpoint> peers);
+  void SetPeers(const std::map<std::string, Endpoint>& peers);
 
   /// @brief Sets what is called when the upstream list or the configuration has to be read at once.
   void OnReadWanted(std::function<void()> list, std::function<void()> configuration) {
@@ -140,6 +140,8 @@
   void CloseRequest(entry::RequestKey key);
   void ArmTimer();
   void DoHousekeeping();
+  void TellCells(TimePoint now);
+  void PassCellLoadOn(entry::CellLoadReceived sum);
   void TellPeers(TimePoint now);
 
   boost::asio::io_context& context_;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -89,11 +89,37 @@
 
 constexpr char kAsked[] = "asked_us";
 constexpr char kAnswered[] = "answered_us";
+/// Present in the sum of a cell.
+constexpr char kSum[] = "sum";
 
 TimePoint DecodeTime(const Json::Value& value) {
   return TimePoint(std::chrono::microseconds(value.asInt64()));
 }
 
+Json::Value EncodeRows(const entry::LoadTable& table) {
+  Json::Value rows(Json::arrayValue);
+  for (const auto& [upstream, work] : table) {
+    Json::Value row(Json::arrayValue);
+    row.append(upstream);
+    row.append(work.requests);
+    row.append(Json::UInt64{work.tokens});
+    row.append(Json::UInt64{work.unread_tokens});
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+std::optional<entry::LoadTable> DecodeRows(const Json::Value& rows) {
+  entry::LoadTable table;
+  for (const Json::Value& row : rows) {
+    if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
+      return std::nullopt;
+    }
+    table[row[0].asString()] = {row[1].asInt(), row[2].asUInt64(), row[3].asUInt64()};
+  }
+  return table;
+}
+
 std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
   if (!root["load"].isArray()) {
     return std::nullopt;
@@ -101,6 +127,7 @@
   entry::PeerLoadReceived received;
   received.host = root["host"].asString();
   received.zone = root["zone"].asString();
+  received.cell = root["cell"].asString();
   received.is_stopping = root["stopping"].asBool();
   received.news = root["news"].asUInt64();
   received.configuration_offset = root["configuration"].asUInt64();
@@ -128,13 +155,36 @@
     count.failures = row[1].asDouble();
     count.answers = row[2].asDouble();
   }
-  for (const Json::Value& row : root["load"]) {
-    if (!row.isArray() || row.size() != kRowLength || !row[0].isString()) {
+  auto load = DecodeRows(root["load"]);
+  if (!load) {
+    return std::nullopt;
+  }
+  received.load = std::move(*load);
+  return received;
+}
+
+std::optional<entry::CellLoadReceived> DecodeCellLoad(const Json::Value& root) {
+  entry::CellLoadReceived sum;
+  sum.cell = root["cell"].asString();
+  sum.zone = root["zone"].asString();
+  sum.hosts = root["hosts"].asInt();
+  sum.is_passed_on = root["passed_on"].asBool();
+  auto load = DecodeRows(root[kSum]);
+  if (!load || sum.cell.empty() || sum.hosts < 1) {
+    return std::nullopt;
+  }
+  sum.load = std::move(*load);
+  constexpr Json::ArrayIndex kCellOutcomeLength = 4;
+  for (const Json::Value& row : root["outcomes"]) {
+    if (!row.isArray() || row.size() != kCellOutcomeLength || !row[0].isString()) {
       return std::nullopt;
     }
-    received.load[row[0].asString()] = {row[1].asInt(), row[2].asUInt64(), row[3].asUInt64()};
+    entry::CellOutcome& outcome = sum.outcomes[row[0].asString()];
+    outcome.count.failures = row[1].asDouble();
+    outcome.count.answers = row[2].asDouble();
+    outcome.hosts = row[3].asInt();
   }
-  return received;
+  return sum;
 }
 
 std::optional<PeerMessage> DecodeMessage(const Json::Value& root) {
@@ -152,6 +202,14 @@
                                                   root["configuration"].asUInt64(), age};
     return message;
   }
+  if (root.isMember(kSum)) {
+    auto sum = DecodeCellLoad(root);
+    if (!sum) {
+      return std::nullopt;
+    }
+    message.content = std::move(*sum);
+    return message;
+  }
   auto load = DecodeLoad(root);
   if (!load) {
     return std::nullopt;
@@ -183,6 +241,9 @@
   Json::Value root;
   root["host"] = load.host;
   root["zone"] = load.zone;
+  if (!load.cell.empty()) {
+    root["cell"] = load.cell;
+  }
   root["stopping"] = load.is_stopping;
   root["news"] = Json::UInt64{load.news};
   for (const entry::UpstreamId& id : load.unreached) {
@@ -206,14 +267,25 @@
     row.append(count.answers);
     root["outcomes"].append(std::move(row));
   }
-  root["load"] = Json::Value(Json::arrayValue);
-  for (const auto& [upstream, work] : load.load) {
+  root["load"] = internal::EncodeRows(load.load);
+  return internal::Write(root);
+}
+
+std::string EncodeCellLoad(std::string_view host, const entry::CellLoadReceived& sum) {
+  Json::Value root;
+  root["host"] = std::string(host);
+  root["cell"] = sum.cell;
+  root["zone"] = sum.zone;
+  root["hosts"] = sum.hosts;
+  root["passed_on"] = sum.is_passed_on;
+  root[internal::kSum] = internal::EncodeRows(sum.load);
+  for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
-    row.append(work.requests);
-    row.append(Json::UInt64{work.tokens});
-    row.append(Json::UInt64{work.unread_tokens});
-    root["load"].append(std::move(row));
+    row.append(outcome.count.failures);
+    row.append(outcome.count.answers);
+    row.append(outcome.hosts);
+    root["outcomes"].append(std::move(row));
   }
   return internal::Write(root);
 }
@@ -270,9 +342,8 @@
                            break;
                          }
                          if (auto message = DecodePeerMessage({buffer_.data(), count})) {
-                           const Endpoint sender{from.address().to_string(), from.port()};
-                           heard_[message->host] = sender;
-                           peers_.emplace(message->host, sender);
+                           heard_[message->host] = from;
+                           peers_.emplace(message->host, from);
                            on_message_(std::move(*message));
                          }
                        }
@@ -280,8 +351,16 @@
                      });
 }
 
-void PeerSocket::SetPeers(std::map<std::string, Endpoint> peers) {
-  peers_ = std::move(peers);
+void PeerSocket::SetPeers(const std::map<std::string, Endpoint>& peers) {
+  peers_.clear();
+  for (const auto& [host, endpoint] : peers) {
+    boost::system::error_code error;
+    const auto address = boost::asio::ip::make_address(endpoint.address, error);
+    if (!error) {  // Checked when the peer's record was read.
+      peers_.emplace(
+          host, boost::asio::ip::udp::endpoint(address, static_cast<std::uint16_t>(endpoint.port)));
+    }
+  }
   peers_.insert(heard_.begin(), heard_.end());
   heard_.clear();
 }
@@ -302,15 +381,10 @@
   }
 }
 
-void PeerSocket::SendTo(std::string_view datagram, const Endpoint& endpoint) {
+void PeerSocket::SendTo(std::string_view datagram, const boost::asio::ip::udp::endpoint& endpoint) {
   boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(endpoint.address, error);
-  if (error) {
-    return;  // Checked when the peer's record was read.
-  }
   // A datagram that can't be sent is followed by the next one.
-  socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()),
-                  {address, static_cast<std::uint16_t>(endpoint.port)}, 0, error);
+  socket_.send_to(boost::asio::buffer(datagram.data(), datagram.size()), endpoint, 0, error);
 }
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -21,6 +21,10 @@
 /// @return The datagram.
 [[nodiscard]] std::string EncodeLoad(const entry::PeerLoadReceived& load);
 
+/// @brief Writes the sum of a cell.
+/// @param host This host.
+[[nodiscard]] std::string EncodeCellLoad(std::string_view host, const entry::CellLoadReceived& sum);
+
 /// @brief Writes a question to a reader of the configuration.
 /// @param host This host.
 [[nodiscard]] std::string EncodeQuestion(std::string_view host,
@@ -34,7 +38,10 @@
 /// A message of another host.
 struct PeerMessage {
   std::string host;
-  std::variant<entry::PeerLoadReceived, entry::ConfirmationAsked, entry::ConfirmationAnswered>
+  std::variant<entry::PeerLoadReceived,
+               entry::CellLoadReceived,
+               entry::ConfirmationAsked,
+               entry::ConfirmationAnswered>
       content;
 };
 
@@ -59,7 +66,7 @@
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
 
   /// @brief Takes the hosts that the store names; those that were heard since stay known.
-  void SetPeers(std::map<std::string, Endpoint> peers);
+  void SetPeers(const std::map<std::string, Endpoint>& peers);
 
   [[nodiscard]] std::size_t peer_count() const noexcept { return peers_.size(); }
 
@@ -74,16 +81,16 @@
 
  private:
   void AwaitReadable();
-  void SendTo(std::string_view datagram, const Endpoint& endpoint);
+  void SendTo(std::string_view datagram, const boost::asio::ip::udp::endpoint& endpoint);
 
   /// Largest datagram: a table of some hundred upstreams.
   static constexpr std::size_t kMaxDatagram = 16384;
 
   boost::asio::ip::udp::socket socket_;
   std::function<void(PeerMessage&&)> on_message_;
-  std::map<std::string, Endpoint> peers_;
+  std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
   /// Hosts that sent a message since the store named its hosts.
-  std::map<std::string, Endpoint> heard_;
+  std::map<std::string, boost::asio::ip::udp::endpoint> heard_;
   std::optional<std::string> failure_;
   std::array<char, kMaxDatagram> buffer_{};
 };
--- a/test/entry_fuzz/world.cc
+++ b/test/entry_fuzz/world.cc
@@ -228,7 +228,7 @@
   host.state->options.bounds.drain = kDrain;
   host.state->options.bounds.grace = kGrace;
   host.state->options.bounds.retry_slack = 1000;
-  Feed(number, HostsRead{kHosts});
+  Feed(number, HostsRead{kHosts, {}});
   PlanRead(number, false, microseconds{0});
   PlanRead(number, true, microseconds{0});
   TellRegularly(number, life);
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -101,7 +101,8 @@
 }
 
 TEST_CASE("hostRecord_written_readBack", "[platform]") {
-  const auto record = ParseHost(WriteHost({{"10.0.0.1", 7200}, 9}));
+  const auto record = ParseHost(WriteHost({{"10.0.0.1", 7200}, "zone-a", 9}));
+  CHECK(record->zone == "zone-a");
   REQUIRE(record);
   CHECK(record->peer == Endpoint{"10.0.0.1", 7200});
   CHECK(record->sequence == 9);
--- /dev/null
+++ b/test/snipeturn/entry/cells_test.cc
@@ -0,0 +1,305 @@
+#include "snipeturn/entry/cells.h"
+
+#include <catch2/catch.hpp>
+#include <map>
+#include <set>
+
+#include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/telling.h"
+
+namespace snipeturn::entry {
+namespace {
+
+constexpr int kZones = 6;
+
+std::string ZoneOf(int host) {
+  return "zone-" + std::to_string(host % kZones);
+}
+
+std::string NameOf(int host) {
+  return "host-" + std::to_string(host);
+}
+
+/// One host among many that the store names.
+class CellsFixture : public EntryFixture {
+ public:
+  CellsFixture() {
+    state.options.host = NameOf(0);
+    state.options.zone = ZoneOf(0);
+  }
+
+  void Adopt(int hosts) {
+    HostsRead read;
+    read.hosts = hosts;
+    for (int host = 1; host < hosts; ++host) {
+      read.zones[NameOf(host)] = ZoneOf(host);
+    }
+    Do(read);
+  }
+
+  PeerLoadReceived Table(int host, const std::string& upstream, std::uint64_t tokens) const {
+    PeerLoadReceived table;
+    table.host = NameOf(host);
+    table.zone = ZoneOf(host);
+    table.cell = ZoneOf(host);
+    if (tokens > 0) {
+      table.load[upstream] = {1, tokens, 0};
+    }
+    return table;
+  }
+
+  CellLoadReceived Sum(const std::string& zone, const std::string& upstream, std::uint64_t tokens) {
+    CellLoadReceived sum;
+    sum.cell = sum.zone = zone;
+    sum.hosts = 49;
+    sum.load[upstream] = {1, tokens, 0};
+    return sum;
+  }
+
+  std::uint64_t Tokens(const std::string& upstream) const {
+    const LoadTable total = TotalLoad(state, now);
+    const auto found = total.find(upstream);
+    return found == total.end() ? 0 : found->second.tokens;
+  }
+
+  /// All other hosts are heard now.
+  void HearAll(int hosts) {
+    for (int host = 1; host < hosts; ++host) {
+      Do(Table(host, "", 0));
+    }
+  }
+
+  Audience Take() { return TakeAudience(telling, state, state.cell_by_host.size(), now); }
+
+  Telling telling;
+};
+
+// Guards against a host whose messages grow with the number of all hosts.
+TEST_CASE_METHOD(CellsFixture, "cells_anyNumberOfHosts_sizeBounded", "[entry]") {
+  for (const int hosts : {7, 88, 295, 400, 1000}) {
+    Adopt(hosts);
+    CHECK(HasCells(state) == (hosts > 128));
+    CHECK(CellHosts(state) <= (hosts > 128 ? 90 : hosts));
+    CHECK(CellHosts(state) >= std::min(hosts, 20));
+  }
+}
+
+// Guards against a zone whose hosts are all in one cell although it holds most hosts.
+TEST_CASE("cells_oneZone_dividedEvenly", "[entry]") {
+  std::map<std::string, int> sizes;
+  for (int host = 0; host < 400; ++host) {
+    ++sizes[CellOf(NameOf(host), "zone-0", 400)];
+  }
+  CHECK(sizes.size() == 7);
+  for (const auto& [cell, size] : sizes) {
+    CHECK(size > 30);
+    CHECK(size < 90);
+  }
+}
+
+// Guards against work that counts twice: in the table of its host and in the sum of its cell.
+TEST_CASE_METHOD(CellsFixture, "load_toldTwice_countsOnce", "[entry]") {
+  Adopt(295);
+  Do(Table(1, "engine-1", 3000));
+  CHECK(Tokens("engine-1") == 3000);
+  Do(Sum("zone-1", "engine-1", 5000));
+  CHECK(Tokens("engine-1") == 5000);
+  Do(Table(6, "engine-1", 100));  // Of this host's own cell.
+  CHECK(Tokens("engine-1") == 5100);
+  Do(Sum("zone-0", "engine-1", 9000));
+  CHECK(Tokens("engine-1") == 5100);
+  // The sum has lapsed, and so has the table by then.
+  now += 4s;
+  CHECK(Tokens("engine-1") == 0);
+}
+
+// Guards against a cell that is forgotten when its sums stop although its hosts are heard.
+TEST_CASE_METHOD(CellsFixture, "cell_sumLapsed_tablesOfItsHostsCount", "[entry]") {
+  Adopt(295);
+  Do(Sum("zone-1", "engine-1", 5000));
+  now += 3300ms;
+  Do(Table(1, "engine-1", 3000));
+  CHECK(Tokens("engine-1") == 3000);
+}
+
+// Guards against a sum that goes round between cells.
+TEST_CASE_METHOD(CellsFixture, "sum_ofOtherCell_passedOnOnce", "[entry]") {
+  Adopt(295);
+  Do(Sum("zone-1", "engine-1", 5000));
+  REQUIRE(All<PassCellLoadOn>().size() == 1);
+  CellLoadReceived sum = All<PassCellLoadOn>()[0].sum;
+  sum.is_passed_on = true;
+  Do(sum);
+  CHECK(All<PassCellLoadOn>().empty());
+}
+
+// Guards against sums that depend on one host of a cell: each round goes to another.
+TEST_CASE_METHOD(CellsFixture, "sum_rounds_reachEachHostInTurn", "[entry]") {
+  Adopt(295);
+  std::set<std::string> reached;
+  for (std::uint64_t round = 0; round < 50; ++round) {
+    const std::vector<std::string> targets = CellTargets(state, round);
+    CHECK(targets.size() == kZones - 1);
+    reached.insert(targets.begin(), targets.end());
+  }
+  CHECK(reached.size() == 295 - 50);  // All but the hosts of the own cell.
+}
+
+// Guards against a cell whose sum nobody tells any more once the host that did has died.
+TEST_CASE_METHOD(CellsFixture, "teller_diesOrStops_anotherTells", "[entry]") {
+  Adopt(295);
+  CHECK(IsCellTeller(state, now));
+  for (int host = 6; host < 295; host += kZones) {
+    Do(Table(host, "", 0));
+  }
+  int tellers = 0;
+  std::string teller;
+  for (int host = 0; host < 295; host += kZones) {
+    State other = state;
+    other.options.host = NameOf(host);
+    other.peers.erase(NameOf(host));
+    other.peers[NameOf(0)] = state.peers.at(NameOf(6));
+    other.peers.erase(NameOf(host));
+    if (IsCellTeller(other, now)) {
+      ++tellers;
+      teller = NameOf(host);
+    }
+  }
+  CHECK(tellers == 1);
+  state.options.host = teller == NameOf(6) ? NameOf(12) : NameOf(6);
+  CHECK_FALSE(IsCellTeller(state, now));
+  state.peers[teller].is_stopping = true;
+  int others = 0;
+  for (const auto& [name, peer] : state.peers) {
+    State other = state;
+    other.options.host = name;
+    other.peers.erase(name);
+    others += name != teller && IsCellTeller(other, now) ? 1 : 0;
+  }
+  CHECK(others >= 1);
+}
+
+// Guards against messages of each host to all others, which grow with the square of the hosts.
+TEST_CASE_METHOD(CellsFixture, "load_changed_toldToCellOnly", "[entry]") {
+  Adopt(295);
+  HearAll(295);
+  REQUIRE_FALSE(IsCellTeller(state, now));
+  REQUIRE_FALSE(IsListReader(state, now));
+  REQUIRE_FALSE(IsConfigurationReader(state, now));
+  state.load_changes += 1;
+  REQUIRE(Take() == Audience::kOwnCell);
+  CHECK(IsInAudience(state, Audience::kOwnCell, NameOf(6)));
+  CHECK_FALSE(IsInAudience(state, Audience::kOwnCell, NameOf(1)));
+  now += 50ms;
+  state.load_reliefs += 1;
+  CHECK(Take() == Audience::kNobody);
+  now += 50ms;
+  CHECK(Take() == Audience::kOwnCell);
+  now += 1300ms;
+  HearAll(295);
+  CHECK(Take() == Audience::kNobody);
+  now += 100ms;
+  CHECK(Take() == Audience::kOwnCell);
+}
+
+// Guards against readers of the store whose news reach one cell only.
+TEST_CASE_METHOD(CellsFixture, "news_ofReader_toldToAll", "[entry]") {
+  Adopt(295);
+  Do(Table(1, "", 0));
+  REQUIRE(IsListReader(state, now));
+  CHECK(Take() == Audience::kAll);
+  now += 30ms;
+  state.news += 1;
+  CHECK(Take() == Audience::kAll);
+  now += 30ms;
+  state.store.offset += 1;
+  CHECK(Take() == Audience::kAll);
+  now += 500ms;
+  CHECK(Take() == Audience::kAll);
+}
+
+// Guards against a read of the store by every host whenever a host that nobody relies on has seen
+// something first.
+TEST_CASE_METHOD(CellsFixture, "news_lostOfOrdinaryHost_listNotReadAnew", "[entry]") {
+  Adopt(295);
+  PeerLoadReceived table = Table(6, "", 0);
+  Do(table);
+  table.news = 5;
+  Do(table);
+  CHECK(All<ReadList>().empty());
+  table.news = 7;
+  table.list_age = 100ms;
+  Do(table);
+  CHECK(All<ReadList>().size() == 1);
+}
+
+// Guards against engines of a zone that looks free since nothing is heard of it.
+TEST_CASE_METHOD(CellsFixture, "zone_notHeard_comesAfterOthers", "[entry]") {
+  Adopt(295);
+  List("engine-1", "engines", "zone-1");
+  List("engine-2", "engines", "zone-2");
+  Do(Sum("zone-2", "engine-2", 3000));
+  for (int count = 0; count < 3; ++count) {
+    Arrive("/long/a", 1000, 200);
+    CHECK(All<Send>().at(0).upstream == "engine-2");
+  }
+}
+
+// Guards against failures of other cells that are not seen.
+TEST_CASE_METHOD(CellsFixture, "upstream_failsInOtherCells_othersPreferred", "[entry]") {
+  Adopt(295);
+  List("engine-1", "engines", "zone-1");
+  List("engine-2", "engines", "zone-1");
+  CellLoadReceived sum = Sum("zone-1", "engine-2", 3000);
+  sum.outcomes["engine-1"].count.failures = 60;
+  sum.outcomes["engine-1"].hosts = 20;
+  Do(sum);
+  Arrive("/long/a", 1000, 200);
+  CHECK(All<Send>().at(0).upstream == "engine-2");
+}
+
+// Guards against a cold upstream that crashes under the starts of hosts that don't hear one another
+// as they are in different cells.
+TEST_CASE("coldUpstream_hostsInCells_sumWithinItsLimit", "[entry]") {
+  for (const int hosts : {295, 400}) {
+    int starts = 0;
+    for (int host = 0; host < hosts; ++host) {
+      CellsFixture one;
+      one.state.options.host = NameOf(host);
+      one.state.options.zone = ZoneOf(host);
+      one.desired.version = 2;
+      one.desired.services["plain"].cold_requests_per_second = 22;
+      one.Do(DesiredStateRead{one.desired});
+      HostsRead read;
+      read.hosts = hosts;
+      for (int other = 0; other < hosts; ++other) {
+        if (other != host) {
+          read.zones[NameOf(other)] = ZoneOf(other);
+        }
+      }
+      one.Do(read);
+      for (int other = 0; other < hosts; ++other) {
+        const auto cell = one.state.cell_by_host.find(NameOf(other));
+        if (cell != one.state.cell_by_host.end() && cell->second == one.state.cell) {
+          PeerLoadReceived table = one.Table(other, "", 0);
+          table.cell = cell->second;
+          one.Do(table);
+        }
+      }
+      UpstreamEntry entry = one.List("plain-1", "plain", "zone-0");
+      entry.cold_left = 5s;
+      entry.sequence += 1;
+      one.Do(UpstreamListed{entry, 100});
+      for (int request = 0; request < 8; ++request) {
+        one.Arrive("/book/a");
+        starts += static_cast<int>(one.All<Send>().size());
+      }
+    }
+    CHECK(starts <= 22);
+    CHECK(starts > 0);
+  }
+}
+
+}  // namespace
+}  // namespace snipeturn::entry
--- a/test/snipeturn/entry/knowledge_test.cc
+++ b/test/snipeturn/entry/knowledge_test.cc
@@ -169,7 +169,7 @@
   desired.version = 2;
   desired.services["plain"].cold_requests_per_second = 20;
   Do(DesiredStateRead{desired});
-  Do(HostsRead{10});
+  Do(HostsRead{10, {}});
   UpstreamEntry entry = List("plain-1", "plain");
   entry.cold_left = 2s;
   entry.sequence += 1;
--- a/test/snipeturn/entry/sums_test.cc
+++ b/test/snipeturn/entry/sums_test.cc
@@ -17,7 +17,7 @@
       one.desired.version = 2;
       one.desired.services["plain"].cold_requests_per_second = cold_per_second;
       one.Do(DesiredStateRead{one.desired});
-      one.Do(HostsRead{hosts});
+      one.Do(HostsRead{hosts, {}});
       for (int other = 0; other < heard; ++other) {
         if (other != host) {
           PeerLoadReceived load;
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -90,6 +90,37 @@
   CHECK_FALSE(DecodePeerMessage(R"({"host":"h","load":)" + std::string(5000, '[')));
 }
 
+TEST_CASE("cellSum_written_readBack", "[loop]") {
+  entry::CellLoadReceived sum;
+  sum.cell = "zone-a/1";
+  sum.zone = "zone-a";
+  sum.hosts = 49;
+  sum.is_passed_on = true;
+  sum.load["engine-1"] = {12, 40000, 6000};
+  sum.outcomes["engine-1"].count.failures = 2.5;
+  sum.outcomes["engine-1"].count.answers = 12;
+  sum.outcomes["engine-1"].hosts = 4;
+  const auto message = DecodePeerMessage(EncodeCellLoad("host-1", sum));
+  REQUIRE(message);
+  CHECK(message->host == "host-1");
+  const auto* read = std::get_if<entry::CellLoadReceived>(&message->content);
+  REQUIRE(read != nullptr);
+  CHECK(read->cell == "zone-a/1");
+  CHECK(read->zone == "zone-a");
+  CHECK(read->hosts == 49);
+  CHECK(read->is_passed_on);
+  CHECK(read->load.at("engine-1").tokens == 40000);
+  CHECK(read->load.at("engine-1").unread_tokens == 6000);
+  CHECK(read->outcomes.at("engine-1").count.failures == Approx(2.5));
+  CHECK(read->outcomes.at("engine-1").hosts == 4);
+  for (const char* text : {R"({"host":"a","cell":"","hosts":1,"sum":[]})",
+                           R"({"host":"a","cell":"c","hosts":0,"sum":[]})",
+                           R"({"host":"a","cell":"c","hosts":1,"sum":[[1,2,3,4]]})",
+                           R"({"host":"a","cell":"c","hosts":1,"sum":[],"outcomes":[["e",1]]})"}) {
+    CHECK_FALSE(DecodePeerMessage(text));
+  }
+}
+
 TEST_CASE("peerQuestions_written_readBack", "[loop]") {
   const TimePoint asked_at{std::chrono::microseconds(123456789012)};
   const auto asked = DecodePeerMessage(EncodeQuestion("host-1", {"host-2", asked_at}));
