Bound what a server, the store or a caller may send without end

Cause: the client skipped interim answers and answers to other requests without a bound, kept a chunk's head or trailers of any length, and let calls of its own collect 64 MB; the event splitter kept an event of any length and searched it from its start at each read; a caller's chunk extension grew without bound. The connection is closed, the request ends as one that may have run, and a counter says so. Ruled out: heads (the parser's own limit held) and bytes on idle connections.

--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -15,8 +15,9 @@
 constexpr std::chrono::milliseconds kFirstInterval{120};
 constexpr std::chrono::milliseconds kSecondInterval{400};
 /// While a reader tells its news every host reads by itself only now and then: numbers show what
-/// was lost.
-constexpr std::chrono::milliseconds kRelaxedInterval{12000};
+/// was lost. Less than the 20 s after which the store drops the records that such a read goes on
+/// from.
+constexpr std::chrono::milliseconds kRelaxedInterval{18000};
 /// Reads of a reader that are fresh enough to rely on. A reader of the configuration waits for up
 /// to a second; one that is cut off from the store tells no more, and the other hosts have to see a
 /// change by themselves within two seconds of it.
@@ -33,7 +34,7 @@
 /// than that makes a host count as not ready.
 constexpr double kConfirmShare = 0.44;
 /// While readers confirm it every host reads by itself only now and then.
-constexpr std::chrono::milliseconds kRelaxedConfigurationInterval{15000};
+constexpr std::chrono::milliseconds kRelaxedConfigurationInterval{40000};
 /// A host that hears no reader must see a change by itself within a second or so.
 constexpr std::chrono::milliseconds kOwnConfigurationInterval{900};
 
--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -68,6 +68,11 @@
   const ParseStatus status = parser_->Feed(input_);
   switch (status) {
     case ParseStatus::kNeedMore: {
+      // What the parser leaves is part of a head, of a chunk's head or of trailers.
+      if (input_.size() > limits_.max_header_bytes) {
+        RefuseBytes(431, "header_too_large");
+        return;
+      }
       const bool waits = parser_->is_head_done() && !said_continue_ &&
                          FindField(parser_->head(), "Expect") != nullptr;
       if (waits) {
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -15,6 +15,10 @@
 constexpr std::size_t kMaxUnwritten = 262144;
 /// Largest whole answer that is kept until it is complete.
 constexpr std::size_t kMaxAnswerBytes = 8U << 20U;
+/// Largest event of a stream; events are some KB.
+constexpr std::size_t kMaxEventBytes = 256U << 10U;
+/// Largest answer to a call that is no caller's request: reports of all runs of an engine.
+constexpr std::uint64_t kMaxCallBytes = 512U << 10U;
 /// Time for a connection to an upstream: a few times the way between availability zones.
 constexpr std::chrono::milliseconds kConnectTimeout{250};
 /// Longest copy: the time that an engine has after its notice.
@@ -103,14 +107,22 @@
   }
   Outgoing& outgoing = found->second;
   if (outgoing.is_event_stream) {
+    const HttpClient::ExchangeKey exchange = outgoing.exchange;
     outgoing.splitter.Append(bytes);
     TakeEvents(key, outgoing);
+    // The reducer may have ended the send meanwhile.
+    const auto after = outgoing_.find(key);
+    if (after != outgoing_.end() &&
+        after->second.splitter.rest_bytes() > internal::kMaxEventBytes) {
+      client_.Cancel(exchange);
+      TakeEnd(key, ExchangeResult::kBroken, fmt::format("{}: event too large", kEndlessAnswer));
+    }
     return;
   }
   outgoing.body += bytes;
   if (outgoing.body.size() > internal::kMaxAnswerBytes) {
     client_.Cancel(outgoing.exchange);
-    TakeEnd(key, ExchangeResult::kBroken, "answer too large");
+    TakeEnd(key, ExchangeResult::kBroken, fmt::format("{}: body too large", kEndlessAnswer));
   }
 }
 
@@ -155,6 +167,9 @@
     return;
   }
   Outgoing& outgoing = found->second;
+  if (reason.rfind(kEndlessAnswer, 0) == 0) {
+    metrics_.Add(Count{kDropped, "endless", 1});
+  }
   entry::AttemptEnded ended;
   ended.attempt = key;
   ended.reason = reason;
@@ -357,6 +372,7 @@
   call.bytes = std::move(bytes);
   call.connect_timeout = internal::kConnectTimeout;
   call.timeout = timeout;
+  call.max_body_bytes = internal::kMaxCallBytes;
   ExchangeHandlers handlers;
   handlers.on_head = [answer](const HttpHead& head) {
     answer->status = head.status;
--- a/src/snipeturn/loop/event_splitter.cc
+++ b/src/snipeturn/loop/event_splitter.cc
@@ -35,8 +35,9 @@
 }
 
 std::optional<StreamEvent> EventSplitter::Next() {
-  const std::size_t plain = buffer_.find("\n\n");
-  const std::size_t with_return = buffer_.find("\r\n\r\n");
+  constexpr std::size_t kLongestEnd = 4;
+  const std::size_t plain = buffer_.find("\n\n", searched_);
+  const std::size_t with_return = buffer_.find("\r\n\r\n", searched_);
   std::size_t end = std::string::npos;
   if (plain != std::string::npos) {
     end = plain + 2;
@@ -45,8 +46,10 @@
     end = with_return + 4;
   }
   if (end == std::string::npos) {
+    searched_ = buffer_.size() < kLongestEnd ? 0 : buffer_.size() - (kLongestEnd - 1);
     return std::nullopt;
   }
+  searched_ = 0;
   StreamEvent event;
   event.bytes = buffer_.substr(0, end);
   event.id = internal::FindId(event.bytes);
--- a/src/snipeturn/loop/event_splitter.h
+++ b/src/snipeturn/loop/event_splitter.h
@@ -22,11 +22,16 @@
   /// @return The next whole event with the blank line that ends it, or nothing.
   [[nodiscard]] std::optional<StreamEvent> Next();
 
+  /// @return Bytes of the incomplete event.
+  [[nodiscard]] std::size_t rest_bytes() const noexcept { return buffer_.size(); }
+
   /// @return True when bytes of an incomplete event are left.
   [[nodiscard]] bool has_rest() const noexcept { return !buffer_.empty(); }
 
  private:
   std::string buffer_;
+  /// No event ends before this place, so a long event is searched once.
+  std::size_t searched_{0};
 };
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -1,5 +1,7 @@
 #include "snipeturn/loop/http_client.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
@@ -13,9 +15,13 @@
 namespace internal {
 namespace {
 
-/// Largest head and body of an answer; answers of services are some KB.
+/// Largest head of an answer, and most bytes of a chunk's head or of trailers: heads are some KB.
 constexpr std::size_t kMaxHeaderBytes = 32768;
-constexpr std::uint64_t kMaxBodyBytes = 64ULL << 20U;
+/// Answers before the own one, interim ones and those to other requests, that one exchange skips: a
+/// server in trouble sends one or two.
+constexpr int kMostSkipped = 8;
+/// Largest body of an answer that is skipped; answers of services are some KB.
+constexpr std::uint64_t kMaxSkippedBytes = 1ULL << 20U;
 /// Idle time of a connection whose other end names none.
 constexpr std::chrono::seconds kDefaultIdle{10};
 /// Share of the named idle time that is used, so that no request meets the other end's close.
@@ -41,6 +47,10 @@
   return std::chrono::seconds(seconds);
 }
 
+std::string Endless(std::string_view what) {
+  return fmt::format("{}: {}", kEndlessAnswer, what);
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -52,6 +62,9 @@
   ExchangePointer exchange;
   /// The answer under way belongs to another request.
   bool skips_answer{false};
+  /// Answers that this exchange has skipped, and bytes of the one that it skips now.
+  int skipped{0};
+  std::uint64_t skipped_bytes{0};
   /// Bytes came that belong to no answer, so the connection ends after this exchange.
   bool is_tainted{false};
   TimePoint idle_since{};
@@ -182,8 +195,10 @@
   exchange->link = link;
   link->exchange = exchange;
   link->parser.emplace(HttpParser::Kind::kAnswer, internal::kMaxHeaderBytes,
-                       internal::kMaxBodyBytes);
+                       exchange->call.max_body_bytes);
   link->skips_answer = false;
+  link->skipped = 0;
+  link->skipped_bytes = 0;
   exchange->written_before = link->connection->written_bytes();
   link->connection->Write(exchange->call.bytes);
   exchange->call.bytes.clear();
@@ -202,10 +217,20 @@
     const bool had_head = parser.is_head_done();
     const ParseStatus status = parser.Feed(link->input);
     const ExchangePointer exchange = link->exchange;
-    if (status != ParseStatus::kNeedMore && status != ParseStatus::kDone) {
+    if (status == ParseStatus::kHeaderTooLarge || status == ParseStatus::kBodyTooLarge) {
+      Finish(exchange, ExchangeResult::kBroken, internal::Endless("head or body too large"));
+      return;
+    }
+    if (status == ParseStatus::kMalformed) {
       Finish(exchange, ExchangeResult::kBroken, "answer can't be read");
       return;
     }
+    // What the parser leaves is part of a head, of a chunk's head or of trailers.
+    if (status == ParseStatus::kNeedMore && link->input.size() > internal::kMaxHeaderBytes) {
+      Finish(exchange, ExchangeResult::kBroken,
+             internal::Endless("chunk's head or trailers too large"));
+      return;
+    }
     constexpr int kFirstFinalStatus = 200;
     const bool is_final = parser.is_head_done() && parser.head().status >= kFirstFinalStatus;
     if (!had_head && is_final && exchange->handlers.on_head) {
@@ -216,6 +241,15 @@
       }
     }
     std::string body = parser.TakeBody();
+    if (!is_final || link->skips_answer) {
+      link->skipped_bytes += body.size();
+      link->skipped += status == ParseStatus::kDone ? 1 : 0;
+      if (link->skipped > internal::kMostSkipped ||
+          link->skipped_bytes > internal::kMaxSkippedBytes) {
+        Finish(exchange, ExchangeResult::kBroken, internal::Endless("answers to no request"));
+        return;
+      }
+    }
     if (is_final && !link->skips_answer && !body.empty() && exchange->handlers.on_body) {
       exchange->handlers.on_body(std::move(body));
       if (exchange->is_over) {
@@ -228,7 +262,7 @@
     if (!is_final || link->skips_answer) {
       // An interim answer, or one to another request: the own one is still to come.
       link->parser.emplace(HttpParser::Kind::kAnswer, internal::kMaxHeaderBytes,
-                           internal::kMaxBodyBytes);
+                           exchange->call.max_body_bytes);
       link->skips_answer = false;
       continue;
     }
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -26,6 +26,9 @@
   kBroken,
 };
 
+/// Begin of the reason with which an exchange ends whose answer shows no end.
+inline constexpr std::string_view kEndlessAnswer = "answer without end";
+
 /// One request to another process.
 struct HttpCall {
   /// Connections are shared by calls of a pool; one pool for each life of an upstream.
@@ -37,6 +40,8 @@
   std::chrono::milliseconds timeout{0};
   /// A kept connection that was idle for longer isn't used.
   std::chrono::milliseconds max_idle{60000};
+  /// Largest body of the answer.
+  std::uint64_t max_body_bytes{64ULL << 20U};
 };
 
 /// What the caller of an exchange is told; functions may be empty but for `on_end`.
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -83,8 +83,8 @@
   void AwaitReadable();
   void SendTo(std::string_view datagram, const boost::asio::ip::udp::endpoint& endpoint);
 
-  /// Largest datagram: a table of some hundred upstreams.
-  static constexpr std::size_t kMaxDatagram = 16384;
+  /// Largest datagram: a table of some hundred upstreams with as many news.
+  static constexpr std::size_t kMaxDatagram = 32768;
 
   boost::asio::ip::udp::socket socket_;
   std::function<void(PeerMessage&&)> on_message_;
--- a/test/snipeturn/entry/cells_test.cc
+++ b/test/snipeturn/entry/cells_test.cc
@@ -234,6 +234,29 @@
   CHECK(All<ReadList>().size() == 1);
 }
 
+// Guards against a read of the whole list by all hosts whenever many upstreams leave at once: the
+// oldest of their notices had gone from the tables before the next one was sent.
+TEST_CASE_METHOD(CellsFixture, "news_manyUpstreamsLeave_allInOneTable", "[entry]") {
+  Adopt(295);
+  std::vector<UpstreamEntry> entries;
+  for (int count = 0; count < 40; ++count) {
+    entries.push_back(List("engine-" + std::to_string(count), "engines"));
+  }
+  Confirm();
+  Do(ListConfirmed{now});
+  CellsFixture other;
+  other.state.options.host = NameOf(1);
+  other.Adopt(295);
+  other.Do(MakeLoadTable(state, now));
+  CHECK(other.All<ReadList>().empty());
+  for (const UpstreamEntry& entry : entries) {
+    Leave(entry);
+  }
+  other.Do(MakeLoadTable(state, now));
+  CHECK(other.All<ReadList>().empty());
+  CHECK(other.state.upstreams.at("engine-0").phase == UpstreamPhase::kLeaving);
+}
+
 // Guards against engines of a zone that looks free since nothing is heard of it.
 TEST_CASE_METHOD(CellsFixture, "zone_notHeard_comesAfterOthers", "[entry]") {
   Adopt(295);
--- a/test/snipeturn/loop/caller_connection_test.cc
+++ b/test/snipeturn/loop/caller_connection_test.cc
@@ -90,6 +90,20 @@
     expected = "431";
     Write(caller, "GET /a HTTP/1.1\r\nX: " + std::string(3000, 'x') + "\r\n\r\n");
   }
+  // Bytes that never end a chunk's head or the trailers must not fill the memory.
+  SECTION("chunk extension without end") {
+    expected = "431";
+    Write(caller,
+          "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;a=" + std::string(8000, 'x'));
+  }
+  SECTION("trailers without end") {
+    expected = "431";
+    std::string trailers;
+    while (trailers.size() < 8000) {
+      trailers += "Line: " + std::string(100, 'x') + "\r\n";
+    }
+    Write(caller, "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + trailers);
+  }
   SECTION("body too large") {
     expected = "413";
     Write(caller, "POST /a HTTP/1.1\r\nContent-Length: 5000\r\n\r\n");
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -19,6 +19,7 @@
     call.endpoint = endpoint();
     call.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     call.timeout = timeout;
+    call.max_body_bytes = max_body_bytes;
     result.reset();
     body.clear();
     ExchangeHandlers handlers;
@@ -51,6 +52,7 @@
   std::optional<ExchangeResult> result;
   std::string body;
   std::string expected_id = "1";
+  std::uint64_t max_body_bytes{64ULL << 20U};
   int status{0};
 };
 
@@ -149,6 +151,75 @@
   CHECK(status == 404);
 }
 
+// Guards against a server whose bytes never end an answer: memory and processor time must stay
+// bounded, the connection must be closed and the call must end as one that may have run.
+TEST_CASE_METHOD(ClientFixture, "answer_withoutEnd_brokenAndClosed", "[loop]") {
+  const std::string kilobyte(1024, 'x');
+  std::string start;
+  std::string repeated;
+  SECTION("one header line") {
+    start = "HTTP/1.1 200 OK\r\nLong: ";
+    repeated = kilobyte;
+  }
+  SECTION("header lines") {
+    start = "HTTP/1.1 200 OK\r\n";
+    repeated = "Line: " + kilobyte + "\r\n";
+  }
+  SECTION("start line") {
+    repeated = kilobyte;
+  }
+  SECTION("interim answers") {
+    repeated = "HTTP/1.1 103 Early Hints\r\n\r\n";
+  }
+  SECTION("answers to other requests") {
+    repeated = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 1\r\n\r\nx";
+  }
+  SECTION("one long answer to another request") {
+    start = "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = "400\r\n" + kilobyte + "\r\n";
+  }
+  SECTION("chunk extension") {
+    start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1;a=";
+    repeated = kilobyte;
+  }
+  SECTION("chunk size") {
+    start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = std::string(1024, '0');
+  }
+  SECTION("trailers") {
+    start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+    repeated = "Line: " + kilobyte + "\r\n";
+  }
+  SECTION("body beyond the bound of the call") {
+    max_body_bytes = 100000;
+    start = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    repeated = "400\r\n" + kilobyte + "\r\n";
+  }
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, start);
+  constexpr int kMostWrites = 4096;
+  int writes = 0;
+  while (!result && writes < kMostWrites) {
+    Write(server, repeated);
+    RunFor(0ms);
+    context.poll();
+    ++writes;
+  }
+  REQUIRE(HasEnded());
+  CHECK(*result == ExchangeResult::kBroken);
+  CHECK(body.size() <= 2U << 20U);
+  // The connection is closed: the server's reads end.
+  char byte = 0;
+  boost::system::error_code error;
+  RunUntil([&] {
+    server.read_some(boost::asio::buffer(&byte, 1), error);
+    return error && error != boost::asio::error::would_block;
+  });
+  CHECK(error != boost::asio::error::would_block);
+}
+
 TEST_CASE_METHOD(ClientFixture, "answer_connectionClose_notReused", "[loop]") {
   Start();
   tcp::socket server = Accept();
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -29,6 +29,28 @@
   CHECK(splitter.has_rest());
 }
 
+// Guards against a long event that is searched from its start at each read.
+TEST_CASE("splitter_endlessEvent_searchedOnce", "[loop]") {
+  EventSplitter splitter;
+  const std::string piece(64, 'x');
+  const auto begin = std::chrono::steady_clock::now();
+  constexpr std::size_t kPieces = 40000;
+  for (std::size_t count = 0; count < kPieces; ++count) {
+    splitter.Append(piece);
+    REQUIRE_FALSE(splitter.Next());
+  }
+  CHECK(splitter.rest_bytes() == kPieces * piece.size());
+  // Searched anew each time these are some 50 GB.
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
+  splitter.Append("\r");
+  CHECK_FALSE(splitter.Next());
+  splitter.Append("\n\r");
+  CHECK_FALSE(splitter.Next());
+  splitter.Append("\n");
+  CHECK(splitter.Next());
+  CHECK_FALSE(splitter.has_rest());
+}
+
 TEST_CASE("peerMessages_written_readBack", "[loop]") {
   entry::PeerLoadReceived load;
   load.host = "host-1";
