Pass readers' tables on within cells, and keep their pace

Cause: a reader of the store told each of 294 hosts by itself, some KB with each notice, and its link of 20 Mbit/s dropped what came faster; hosts that missed its news read the store (some 300 calls at each group of leaving engines), and took over its reads after 0.9 s. Tables for the reader's cell also put off those for all.

--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -167,7 +167,7 @@
   return sum;
 }
 
-std::vector<std::string> CellTargets(const State& state, std::uint64_t round) {
+std::vector<std::string> CellTargets(const State& state, std::uint64_t round, std::size_t copies) {
   std::map<std::string, std::vector<const std::string*>> hosts_by_cell;
   for (const auto& [host, cell] : state.cell_by_host) {
     if (cell != state.cell) {
@@ -175,9 +175,11 @@
     }
   }
   std::vector<std::string> targets;
-  targets.reserve(hosts_by_cell.size());
+  targets.reserve(hosts_by_cell.size() * copies);
   for (const auto& [cell, hosts] : hosts_by_cell) {
-    targets.push_back(*hosts[round % hosts.size()]);
+    for (std::size_t copy = 0; copy < std::min(copies, hosts.size()); ++copy) {
+      targets.push_back(*hosts[(round + copy * hosts.size() / copies) % hosts.size()]);
+    }
   }
   return targets;
 }
--- a/src/snipeturn/entry/cells.h
+++ b/src/snipeturn/entry/cells.h
@@ -47,12 +47,15 @@
 /// @brief The sum of this host's cell.
 [[nodiscard]] CellLoadReceived MakeCellLoad(const State& state, TimePoint now);
 
-/// @brief Chooses one host of each other cell, the next one each round: it passes the sum on within
-///     its cell. All hosts share that work, and one that has died costs a round.
+/// @brief Chooses hosts of each other cell, the next ones each round: they pass what they get on
+///     within their cell. All hosts share that work, and one that has died costs a round.
 /// @param state The entry state.
 /// @param round Number of the round.
+/// @param copies Hosts of each cell.
 /// @return Names of hosts.
-[[nodiscard]] std::vector<std::string> CellTargets(const State& state, std::uint64_t round);
+[[nodiscard]] std::vector<std::string> CellTargets(const State& state,
+                                                   std::uint64_t round,
+                                                   std::size_t copies);
 
 namespace internal {
 
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -108,6 +108,11 @@
 /// Read the configuration now: another host has read further.
 struct ReadConfiguration {};
 
+/// Pass the table of a host of another cell on to the hosts of this one.
+struct PassLoadOn {
+  PeerLoadReceived load;
+};
+
 /// Pass the sum of another cell on to the hosts of this one.
 struct PassCellLoadOn {
   CellLoadReceived sum;
@@ -149,6 +154,7 @@
                             ReadReport,
                             ReadList,
                             ReadConfiguration,
+                            PassLoadOn,
                             PassCellLoadOn,
                             AskConfirmation,
                             AnswerConfirmation,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -213,6 +213,10 @@
   std::vector<UpstreamId> unreached;
   /// Upstreams at which its sends failed in the last moments.
   OutcomeTable outcomes;
+  /// The host's clock when it told the table; orders its tables.
+  TimePoint told_at{};
+  /// A host of this cell got the table from another cell.
+  bool is_passed_on{false};
 };
 
 /// Sum of the load of the hosts of a cell.
--- a/src/snipeturn/entry/knowledge.cc
+++ b/src/snipeturn/entry/knowledge.cc
@@ -25,8 +25,8 @@
 constexpr std::chrono::milliseconds kForgetAfter{5000};
 constexpr std::chrono::milliseconds kReviewInterval{250};
 /// News are told again for so long, at least with the next two load tables, and at most so many:
-/// some 110 bytes each, in a datagram. A host that misses one reads the whole list, so there is room
-/// for a sixth of some hundred upstreams that leave at once while others take their place.
+/// some 110 bytes each, in a datagram. A host that misses one reads the whole list, so there is
+/// room for a sixth of some hundred upstreams that leave at once while others take their place.
 constexpr std::chrono::milliseconds kNewsLife{1200};
 constexpr std::size_t kMostNews = 96;
 /// Between two reports of an engine: a reclaimed one has about two seconds left.
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -35,6 +35,7 @@
   table.host = state.options.host;
   table.zone = state.options.zone;
   table.cell = state.cell;
+  table.told_at = now;
   table.is_stopping = state.is_stopping;
   table.news = state.news;
   for (const State::RecentNews& recent : state.recent_news) {
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -24,6 +24,10 @@
 constexpr std::chrono::milliseconds kFreshOfLate{1000};
 constexpr std::chrono::milliseconds kOldRead{2000};
 
+/// A passed on table may come after a newer one, from a host that was paused. A host whose clock
+/// starts anew after it was restarted is silent for longer.
+constexpr std::chrono::milliseconds kOvertaken{3000};
+
 /// True when the host's reads of the configuration succeed again, or it is heard again.
 bool HasReadAgain(const PeerLoad& before, const PeerLoadReceived& event, TimePoint now) {
   const bool was_away = now - before.at > kOldRead || !before.configuration_confirmed ||
@@ -62,6 +66,10 @@
 void TakePeerLoad(Work& work, const PeerLoadReceived& event) {
   State& state = work.state;
   PeerLoad& peer = state.peers[event.host];
+  if (event.is_passed_on && event.told_at <= peer.told_at && work.now - peer.at < kOvertaken) {
+    return;
+  }
+  peer.told_at = event.told_at;
   // Lower after a restart of the host.
   const bool was_heard = std::exchange(peer.was_heard, true);
   std::uint64_t known = peer.news;
@@ -110,6 +118,10 @@
   if (state.store.is_reachable ? event.configuration_offset > state.store.offset : is_store_back) {
     work.effects.push_back(ReadConfiguration{});
   }
+  const bool is_for_cell = HasCells(state) && !event.cell.empty() && event.cell != state.cell;
+  if (is_for_cell && !event.is_passed_on) {
+    work.effects.push_back(PassLoadOn{event});
+  }
   AskReader(work);
   DispatchQueue(work);
 }
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -43,6 +43,8 @@
   /// Number of the last news that was received, or known not to concern this host.
   std::uint64_t news{0};
   bool was_heard{false};
+  /// The host's clock at its last table.
+  TimePoint told_at{};
   /// When its last reads began, by this host's clock.
   std::optional<TimePoint> configuration_confirmed;
   std::optional<TimePoint> list_confirmed;
--- a/src/snipeturn/entry/telling.cc
+++ b/src/snipeturn/entry/telling.cc
@@ -42,6 +42,13 @@
 /// Time between two sums of a cell. The rounds of housekeeping are 100 ms.
 constexpr std::chrono::milliseconds kCellInterval{190};
 
+/// Hosts of each other cell that pass a reader's table on. One may be dead or lose the datagram,
+/// and a reader that isn't heard for 0.9 s counts as gone.
+constexpr std::size_t kPassingHosts = 2;
+/// Least time between two tables of news. A reader repeats those of the last 1.2 s, some KB, and a
+/// link of 20 Mbit/s loses datagrams when they come faster than it carries them.
+constexpr std::chrono::milliseconds kNewsInterval{100};
+
 /// The audience where load is told within cells: all hosts hear what the readers of the store tell,
 /// and the rest only the hosts of the cell.
 Audience TakeCellAudience(Telling& telling, const State& state, TimePoint now) {
@@ -55,10 +62,12 @@
   Refill(telling, static_cast<std::size_t>(CellHosts(state)), now);
   const auto repeat = is_reader || IsCellTeller(state, now) ? kLoadRepeat : kCellRepeat;
   const auto least = has_changed ? kLeastInterval : kReliefInterval;
-  const bool is_due = has_news                    ? since >= kLeastInterval
+  // Tables for the cell don't put off those for all: hosts that miss them take over the reads.
+  const bool is_due_for_all = is_reader && now - telling.told_all_at >= kLoadRepeat;
+  const bool is_due = has_news                    ? since >= kNewsInterval
                       : has_changed || has_relief ? since >= least && telling.allowance >= 1
                                                   : since >= repeat;
-  if (!is_due) {
+  if (!is_due && !is_due_for_all) {
     return Audience::kNobody;
   }
   if (has_changed || has_relief) {
@@ -69,7 +78,7 @@
   telling.news = state.news;
   telling.configuration = state.store.offset;
   telling.told_at = now;
-  if (is_reader && (has_news || now - telling.told_all_at >= kLoadRepeat)) {
+  if (is_due_for_all || (is_reader && has_news)) {
     telling.told_all_at = now;
     return Audience::kAll;
   }
@@ -129,7 +138,11 @@
     return {};
   }
   telling.cell_told_at = now;
-  return CellTargets(state, telling.cell_rounds++);
+  return CellTargets(state, telling.cell_rounds++, 1);
+}
+
+std::vector<std::string> TakePassingHosts(Telling& telling, const State& state) {
+  return CellTargets(state, telling.cell_rounds++, internal::kPassingHosts);
 }
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/telling.h
+++ b/src/snipeturn/entry/telling.h
@@ -22,7 +22,7 @@
   /// Tables of changes that may be sent at once, as of `allowance_at`.
   double allowance{0};
   TimePoint allowance_at{};
-  /// Sums of the cell that were told.
+  /// Rounds of messages to the other cells.
   std::uint64_t cell_rounds{0};
   TimePoint cell_told_at{};
 };
@@ -48,6 +48,9 @@
 /// @brief Tells whether a host belongs to an audience.
 [[nodiscard]] bool IsInAudience(const State& state, Audience audience, const std::string& host);
 
+/// @brief Chooses the hosts that pass a table for all hosts on to the other cells.
+[[nodiscard]] std::vector<std::string> TakePassingHosts(Telling& telling, const State& state);
+
 /// @brief Decides whether the sum of the cell is due, and counts it as told.
 /// @return Hosts that are to be told now; none when this host doesn't tell the sum.
 [[nodiscard]] std::vector<std::string> TakeCellTargets(Telling& telling,
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -289,6 +289,8 @@
           if (on_configuration_wanted_) {
             on_configuration_wanted_();
           }
+        } else if constexpr (std::is_same_v<Item, entry::PassLoadOn>) {
+          PassLoadOn(std::move(item.load));
         } else if constexpr (std::is_same_v<Item, entry::PassCellLoadOn>) {
           PassCellLoadOn(std::move(item.sum));
         } else if constexpr (std::is_same_v<Item, entry::AskConfirmation>) {
@@ -330,10 +332,25 @@
   if (audience == entry::Audience::kNobody) {
     return;
   }
-  peers_->Broadcast(EncodeLoad(entry::MakeLoadTable(state_, now)),
-                    [this, audience](const std::string& host) {
-                      return entry::IsInAudience(state_, audience, host);
-                    });
+  const std::string datagram = EncodeLoad(entry::MakeLoadTable(state_, now));
+  const bool has_passing_hosts = audience == entry::Audience::kAll && entry::HasCells(state_);
+  SendTo(datagram, has_passing_hosts ? entry::Audience::kOwnCell : audience);
+  if (has_passing_hosts) {
+    for (const std::string& host : entry::TakePassingHosts(telling_, state_)) {
+      peers_->Send(datagram, host);
+    }
+  }
+}
+
+void EntryRuntime::SendTo(std::string_view datagram, entry::Audience audience) {
+  peers_->Broadcast(datagram, [this, audience](const std::string& host) {
+    return entry::IsInAudience(state_, audience, host);
+  });
+}
+
+void EntryRuntime::PassLoadOn(entry::PeerLoadReceived load) {
+  load.is_passed_on = true;
+  SendTo(EncodeLoad(load), entry::Audience::kOwnCell);
 }
 
 void EntryRuntime::TellCells(TimePoint now) {
@@ -350,9 +367,7 @@
 
 void EntryRuntime::PassCellLoadOn(entry::CellLoadReceived sum) {
   sum.is_passed_on = true;
-  peers_->Broadcast(EncodeCellLoad(options_.entry.host, sum), [this](const std::string& host) {
-    return entry::IsInAudience(state_, entry::Audience::kOwnCell, host);
-  });
+  SendTo(EncodeCellLoad(options_.entry.host, sum), entry::Audience::kOwnCell);
 }
 
 void EntryRuntime::DoHousekeeping() {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -141,6 +141,8 @@
   void ArmTimer();
   void DoHousekeeping();
   void TellCells(TimePoint now);
+  void SendTo(std::string_view datagram, entry::Audience audience);
+  void PassLoadOn(entry::PeerLoadReceived load);
   void PassCellLoadOn(entry::CellLoadReceived sum);
   void TellPeers(TimePoint now);
 
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -128,6 +128,8 @@
   received.host = root["host"].asString();
   received.zone = root["zone"].asString();
   received.cell = root["cell"].asString();
+  received.told_at = DecodeTime(root["told_us"]);
+  received.is_passed_on = root["passed_on"].asBool();
   received.is_stopping = root["stopping"].asBool();
   received.news = root["news"].asUInt64();
   received.configuration_offset = root["configuration"].asUInt64();
@@ -188,7 +190,7 @@
 }
 
 std::optional<PeerMessage> DecodeMessage(const Json::Value& root) {
-  PeerMessage message{root["host"].asString(), {}};
+  PeerMessage message{root["host"].asString(), {}, false};
   if (root.isMember(kAsked)) {
     message.content = entry::ConfirmationAsked{message.host, DecodeTime(root[kAsked])};
     return message;
@@ -214,6 +216,7 @@
   if (!load) {
     return std::nullopt;
   }
+  message.is_passed_on = load->is_passed_on;
   message.content = std::move(*load);
   return message;
 }
@@ -244,6 +247,10 @@
   if (!load.cell.empty()) {
     root["cell"] = load.cell;
   }
+  root["told_us"] = Json::Int64{load.told_at.time_since_epoch().count()};
+  if (load.is_passed_on) {
+    root["passed_on"] = true;
+  }
   root["stopping"] = load.is_stopping;
   root["news"] = Json::UInt64{load.news};
   for (const entry::UpstreamId& id : load.unreached) {
@@ -342,8 +349,10 @@
                            break;
                          }
                          if (auto message = DecodePeerMessage({buffer_.data(), count})) {
-                           heard_[message->host] = from;
-                           peers_.emplace(message->host, from);
+                           if (!message->is_passed_on) {
+                             heard_[message->host] = from;
+                             peers_.emplace(message->host, from);
+                           }
                            on_message_(std::move(*message));
                          }
                        }
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -43,6 +43,8 @@
                entry::ConfirmationAsked,
                entry::ConfirmationAnswered>
       content;
+  /// It came by way of another host.
+  bool is_passed_on{false};
 };
 
 /// @brief Reads a message of another host.
