--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -49,7 +49,7 @@
   state.cell_by_host.clear();
   state.cells_in_zone = 1;
   const std::string before = std::exchange(state.cell, "");
-  if (HasCells(state)) {
+  if (event.hosts > kMostDirectHosts) {
     std::map<std::string, int> hosts_by_zone;
     hosts_by_zone[state.options.zone] = 1;
     for (const auto& [host, zone] : event.zones) {
@@ -104,7 +104,7 @@
 }
 
 bool HasCells(const State& state) noexcept {
-  return state.hosts > internal::kMostDirectHosts;
+  return !state.cell.empty();
 }
 
 bool IsInOwnCell(const State& state, const std::string& host) {
@@ -124,6 +124,12 @@
   return now - cell.at <= internal::kCellLapse;
 }
 
+int CellsHeard(const State& state, TimePoint now) {
+  return static_cast<int>(
+      std::count_if(state.cells.begin(), state.cells.end(),
+                    [now](const auto& entry) { return IsFresh(entry.second, now); }));
+}
+
 bool CountsDirectly(const State& state, const PeerLoad& peer, TimePoint now) {
   if (peer.cell == state.cell) {
     return true;
--- a/src/snipeturn/entry/cells.h
+++ b/src/snipeturn/entry/cells.h
@@ -37,6 +37,9 @@
 /// @brief Tells whether the sum of a cell is young enough to count.
 [[nodiscard]] bool IsFresh(const CellLoad& cell, TimePoint now) noexcept;
 
+/// @brief Other cells whose sum is young enough to count.
+[[nodiscard]] int CellsHeard(const State& state, TimePoint now);
+
 /// @brief Tells whether the work of the hosts of a zone is known.
 [[nodiscard]] bool IsZoneHeard(const State& state, const std::string& zone, TimePoint now);
 
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -185,7 +185,10 @@
       {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
       {"snipeturn_opened_connections", "", "", static_cast<double>(client_.opened_connections())},
       {"snipeturn_dropped_log_lines", "", "", static_cast<double>(log_.dropped_lines())},
-      {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)}};
+      {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)},
+      {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
+      {"snipeturn_cells_heard", "", "",
+       static_cast<double>(entry::CellsHeard(state_, BootTime()))}};
   FindConnection(key)->Answer(
       FormatAnswer(200, "text/plain; version=0.0.4", metrics_.Render(gauges), "", false), false);
 }
--- a/test/snipeturn/entry/cells_test.cc
+++ b/test/snipeturn/entry/cells_test.cc
@@ -85,6 +85,20 @@
   }
 }
 
+// Guards against a change of the deployment's size that leaves sums of cells behind.
+TEST_CASE_METHOD(CellsFixture, "cells_hostsGo_tablesOfAllCountAgain", "[entry]") {
+  Adopt(295);
+  Do(Sum("zone-1", "engine-1", 5000));
+  Adopt(100);
+  CHECK_FALSE(HasCells(state));
+  CHECK(Tokens("engine-1") == 0);
+  Do(Table(1, "engine-1", 3000));
+  CHECK(Tokens("engine-1") == 3000);
+  Do(Sum("zone-1", "engine-1", 5000));  // Of a host that has not read the hosts yet.
+  CHECK(Tokens("engine-1") == 3000);
+  CHECK(All<PassCellLoadOn>().empty());
+}
+
 // Guards against a zone whose hosts are all in one cell although it holds most hosts.
 TEST_CASE("cells_oneZone_dividedEvenly", "[entry]") {
   std::map<std::string, int> sizes;
@@ -104,6 +118,8 @@
   Do(Table(1, "engine-1", 3000));
   CHECK(Tokens("engine-1") == 3000);
   Do(Sum("zone-1", "engine-1", 5000));
+  CHECK(CellsHeard(state, now) == 1);
+  CHECK(CellsHeard(state, now + 4s) == 0);
   CHECK(Tokens("engine-1") == 5000);
   Do(Table(6, "engine-1", 100));  // Of this host's own cell.
   CHECK(Tokens("engine-1") == 5100);
