--- a/test/entry_fuzz/constants.h
+++ b/test/entry_fuzz/constants.h
@@ -33,5 +33,7 @@
 /// Longer than the route's timeout.
 inline constexpr std::chrono::milliseconds kHang{12000};
 inline constexpr int kSlots = 24;
+/// Upstreams that may run one attempt of a caller whose stream may be resumed.
+inline constexpr int kMostRuns = 2;
 
 }  // namespace snipeturn::entry::world
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -26,11 +26,24 @@
   world.Leave(second, true);
 }
 
+/// Streams that may be resumed, at engines of which one is lost.
+void LoseUnderResumable(World& world, int first, int second) {
+  for (int count = 0; count < 4; ++count) {
+    world.RequestResumable(count % 3, static_cast<std::uint64_t>((first + count) % 4));
+  }
+  world.Run(milliseconds{60 + first * 10});
+  if (second % 2 == 0) {
+    world.Leave(first, true);
+  }
+  world.Crash(second);
+}
+
 const std::vector<FuzzAction<World>>& Actions() {
   static const std::vector<FuzzAction<World>> kActions = {
       {"wait", 16, [](World& w, int first, int) { w.Run(milliseconds{first * 60}); }},
       {"requests", 30, RequestMany},
       {"leave under streams", 10, LeaveUnderStreams},
+      {"lose under resumable", 8, LoseUnderResumable},
       {"give up", 4, [](World& w, int, int) { w.GiveUp(); }},
       {"kill", 3, [](World& w, int first, int) { w.Kill(first % 3); }},
       {"start", 6, [](World& w, int first, int) { w.Start(first % 3); }},
@@ -70,5 +83,6 @@
       argc, argv, snipeturn::entry::Actions(), [](const snipeturn::entry::World& world) {
         RC_CLASSIFY(world.finished() > 10, "more than 10 answers");
         RC_CLASSIFY(world.moved() > 0, "moved generations");
+        RC_CLASSIFY(world.resumed_anew() > 0, "streams resumed anew");
       });
 }
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -29,6 +29,8 @@
 
   // Callers.
   void Request(int host, RouteKind kind);
+  /// A stream of a route that may be resumed, by a caller that has some of its events.
+  void RequestResumable(int host, std::uint64_t position);
   void GiveUp();
 
   // Hosts.
@@ -67,9 +69,14 @@
   [[nodiscard]] const std::vector<std::string>& violations() const noexcept { return violations_; }
   [[nodiscard]] int finished() const noexcept { return finished_; }
   [[nodiscard]] int moved() const noexcept { return moved_; }
+  /// Streams that went on with a new generation.
+  [[nodiscard]] int resumed_anew() const noexcept { return resumed_anew_; }
 
  private:
   using Action = std::function<void()>;
+
+  void RequestOf(int host, RouteKind kind, bool is_resumable, std::uint64_t position);
+
   using CallerId = std::uint64_t;
 
   struct Later {
@@ -145,6 +152,7 @@
     std::uint64_t events{0};
     std::string generation;
     int runs{0};
+    bool is_resumable{false};
     bool is_refused{false};
     bool is_done{false};
     bool is_served{false};
@@ -247,6 +255,7 @@
   RequestKey next_request_{0};
   int finished_{0};
   int moved_{0};
+  int resumed_anew_{0};
   std::vector<std::string> violations_;
 };
 
--- a/test/entry_fuzz/world_callers.cc
+++ b/test/entry_fuzz/world_callers.cc
@@ -12,6 +12,14 @@
 using std::chrono::milliseconds;
 
 void World::Request(int number, RouteKind kind) {
+  RequestOf(number, kind, false, 0);
+}
+
+void World::RequestResumable(int number, std::uint64_t position) {
+  RequestOf(number, RouteKind::kStream, true, position);
+}
+
+void World::RequestOf(int number, RouteKind kind, bool is_resumable, std::uint64_t position) {
   const CallerId id = ++next_caller_;
   Caller& caller = callers_[id];
   caller.kind = kind;
@@ -20,6 +28,8 @@
   caller.sent_at = now_;
   caller.length = 5 + Random(120);
   caller.life = hosts_[number].life;
+  caller.is_resumable = is_resumable;
+  caller.events = position;
   if (!hosts_[number].state) {
     caller.is_done = true;
     return;
@@ -28,7 +38,11 @@
   arrived.request = caller.request = ++next_request_;
   arrived.head.id = fmt::format("request-{}", id);
   arrived.head.host = "svc.example";
-  arrived.head.path = kind == RouteKind::kStream          ? "/long/a"
+  if (position > 0) {
+    arrived.head.position = position;
+  }
+  arrived.head.path = is_resumable                        ? "/short/a"
+                      : kind == RouteKind::kStream        ? "/long/a"
                       : kind == RouteKind::kNonIdempotent ? "/book/a"
                                                           : "/look/a";
   arrived.head.key = caller.key;
@@ -113,7 +127,7 @@
     return;
   }
   Caller& caller = callers_.at(found->second);
-  if (caller.generation.empty()) {
+  if (caller.generation.empty() || caller.is_resumable) {
     caller.generation = incoming->second.generation;
   }
   if (caller.generation != incoming->second.generation) {
--- a/test/entry_fuzz/world_store.cc
+++ b/test/entry_fuzz/world_store.cc
@@ -59,7 +59,10 @@
   desired.services["plain"].name = "plain";
   desired.routes = {MakeRoute("/long/", RouteKind::kStream, "engines"),
                     MakeRoute("/book/", RouteKind::kNonIdempotent, "plain"),
-                    MakeRoute("/look/", RouteKind::kIdempotent, "plain")};
+                    MakeRoute("/look/", RouteKind::kIdempotent, "plain"),
+                    MakeRoute("/short/", RouteKind::kStream, "engines")};
+  desired.routes.back().is_resumable = true;
+  desired.routes.back().max_upstreams = kMostRuns;
   desired.has_organisations = true;
   for (const std::string& key : keys_) {
     desired.organisation_by_key[key] = {"org-" + key, std::nullopt};
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -134,7 +134,20 @@
     At(kMoveOverlap, [this, id] { CheckSingleRun(id); });
   } else {
     caller.runs += 1;
-    if (caller.runs > 1 && caller.kind != RouteKind::kIdempotent) {
+    if (caller.is_resumable) {
+      if (caller.runs > kMostRuns) {
+        Violate(fmt::format("BUDGET: caller {} runs {} times", id, caller.runs));
+      }
+      if (send.position != caller.events) {
+        Violate(fmt::format("ORDER: caller {} has {} events and a run goes on after {}", id,
+                            caller.events, send.position));
+      }
+      job.events = job.sent = send.position;
+      resumed_anew_ += caller.runs > 1 ? 1 : 0;
+    } else if (send.position != 0) {
+      Violate(fmt::format("ORDER: caller {} gets a run that goes on after {}", id, send.position));
+    }
+    if (caller.runs > 1 && caller.kind != RouteKind::kIdempotent && !caller.is_resumable) {
       Violate(fmt::format("TWICE: caller {} runs again at {}", id, upstream.entry.id));
     }
     job.generation = fmt::format("{}@{}", id, upstream.entry.id);
