Count hosts of cells among those that share a cold upstream's starts

A host that has not read the others yet has no cells, and left out all that tell for one, so its share grew (test fails without the change).

--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -198,12 +198,13 @@
   return static_cast<double>(recent) >= starts;
 }
 
-/// Hosts that rank before this one for an upstream.
+/// Hosts that rank before this one for an upstream, of the cell where there are cells.
 int HostsBefore(const State& state, const UpstreamId& upstream, TimePoint now) {
   const std::uint64_t own = RendezvousWeight(upstream, state.options.host);
   return static_cast<int>(
       std::count_if(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
-        return now - entry.second.at < kHostLapse && entry.second.cell == state.cell &&
+        const bool shares = !HasCells(state) || entry.second.cell == state.cell;
+        return shares && now - entry.second.at < kHostLapse &&
                RendezvousWeight(upstream, entry.first) > own;
       }));
 }
--- a/test/snipeturn/entry/cells_test.cc
+++ b/test/snipeturn/entry/cells_test.cc
@@ -5,6 +5,7 @@
 #include <set>
 
 #include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/placement.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/telling.h"
 
@@ -99,6 +100,28 @@
   CHECK(All<PassCellLoadOn>().empty());
 }
 
+// Guards against starts that add up while some hosts have read the others and some have not: a host
+// without cells counts those that tell for a cell too.
+TEST_CASE_METHOD(CellsFixture, "coldUpstream_othersHaveCells_theyCountAsSharers", "[entry]") {
+  desired.version = 2;
+  desired.services["plain"].cold_requests_per_second = 2;
+  Do(DesiredStateRead{desired});
+  for (int host = 1; host < 40; ++host) {
+    Do(Table(host, "", 0));
+  }
+  REQUIRE_FALSE(HasCells(state));
+  int starts = 0;
+  for (int count = 0; count < 20; ++count) {
+    UpstreamEntry entry = List("plain-" + std::to_string(count), "plain");
+    entry.cold_left = 5s;
+    entry.sequence += 1;
+    Do(UpstreamListed{entry, 100 + static_cast<std::uint64_t>(count)});
+    starts += IsColdLimitReached(state, state.upstreams.at(entry.id), now) ? 0 : 1;
+  }
+  // Two of forty hosts start at each upstream.
+  CHECK(starts <= 5);
+}
+
 // Guards against a zone whose hosts are all in one cell although it holds most hosts.
 TEST_CASE("cells_oneZone_dividedEvenly", "[entry]") {
   std::map<std::string, int> sizes;
