--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -24,8 +24,8 @@
 constexpr std::chrono::milliseconds kCellLapse{3200};
 /// A host of the cell that was silent for so long tells no sum; one that does repeats its table
 /// every half second.
-constexpr std::chrono::milliseconds kTellerSilence{900};
-constexpr std::string_view kTeller = "cell sum";
+constexpr std::chrono::milliseconds kAggregatorSilence{900};
+constexpr std::string_view kAggregator = "cell sum";
 
 void AddOutcomes(CellOutcomes& sum, const OutcomeTable& table, TimePoint now) {
   for (const auto& [id, count] : table) {
@@ -87,8 +87,8 @@
   for (auto& [id, outcome] : cell.outcomes) {
     outcome.count.at = work.now;
   }
-  if (!event.is_passed_on) {
-    work.effects.push_back(PassCellLoadOn{event});
+  if (!event.is_forwarded) {
+    work.effects.push_back(ForwardCellLoad{event});
   }
   DispatchQueue(work);
 }
@@ -145,14 +145,14 @@
          });
 }
 
-bool IsCellTeller(const State& state, TimePoint now) {
-  const std::uint64_t own = RendezvousWeight(internal::kTeller, state.options.host);
+bool IsCellAggregator(const State& state, TimePoint now) {
+  const std::uint64_t own = RendezvousWeight(internal::kAggregator, state.options.host);
   return HasCells(state) &&
          std::none_of(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
            const auto& [host, peer] = entry;
            return peer.cell == state.cell && !peer.is_stopping &&
-                  now - peer.at < internal::kTellerSilence &&
-                  RendezvousWeight(internal::kTeller, host) > own;
+                  now - peer.at < internal::kAggregatorSilence &&
+                  RendezvousWeight(internal::kAggregator, host) > own;
          });
 }
 
--- a/src/snipeturn/entry/cells.h
+++ b/src/snipeturn/entry/cells.h
@@ -45,7 +45,7 @@
 
 /// @brief Tells whether this host tells the other cells the sum of its own, by rendezvous hashing
 ///     over the hosts of the cell that it hears.
-[[nodiscard]] bool IsCellTeller(const State& state, TimePoint now);
+[[nodiscard]] bool IsCellAggregator(const State& state, TimePoint now);
 
 /// @brief The sum of this host's cell.
 [[nodiscard]] CellLoadReceived MakeCellLoad(const State& state, TimePoint now);
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -109,12 +109,12 @@
 struct ReadConfiguration {};
 
 /// Pass the table of a host of another cell on to the hosts of this one.
-struct PassLoadOn {
+struct ForwardLoad {
   PeerLoadReceived load;
 };
 
 /// Pass the sum of another cell on to the hosts of this one.
-struct PassCellLoadOn {
+struct ForwardCellLoad {
   CellLoadReceived sum;
 };
 
@@ -154,8 +154,8 @@
                             ReadReport,
                             ReadList,
                             ReadConfiguration,
-                            PassLoadOn,
-                            PassCellLoadOn,
+                            ForwardLoad,
+                            ForwardCellLoad,
                             AskConfirmation,
                             AnswerConfirmation,
                             ForgetUpstream,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -216,7 +216,7 @@
   /// The host's clock when it told the table; orders its tables.
   TimePoint told_at{};
   /// A host of this cell got the table from another cell.
-  bool is_passed_on{false};
+  bool is_forwarded{false};
 };
 
 /// Sum of the load of the hosts of a cell.
@@ -227,7 +227,7 @@
   LoadTable load;
   CellOutcomes outcomes;
   /// A host of this cell got it from the other cell.
-  bool is_passed_on{false};
+  bool is_forwarded{false};
 };
 
 /// Another host asks how far this one has read the configuration.
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -66,7 +66,7 @@
 void TakePeerLoad(Work& work, const PeerLoadReceived& event) {
   State& state = work.state;
   PeerLoad& peer = state.peers[event.host];
-  if (event.is_passed_on && event.told_at <= peer.told_at && work.now - peer.at < kOvertaken) {
+  if (event.is_forwarded && event.told_at <= peer.told_at && work.now - peer.at < kOvertaken) {
     return;
   }
   peer.told_at = event.told_at;
@@ -119,8 +119,8 @@
     work.effects.push_back(ReadConfiguration{});
   }
   const bool is_for_cell = HasCells(state) && !event.cell.empty() && event.cell != state.cell;
-  if (is_for_cell && !event.is_passed_on) {
-    work.effects.push_back(PassLoadOn{event});
+  if (is_for_cell && !event.is_forwarded) {
+    work.effects.push_back(ForwardLoad{event});
   }
   AskReader(work);
   DispatchQueue(work);
--- a/src/snipeturn/entry/telling.cc
+++ b/src/snipeturn/entry/telling.cc
@@ -44,7 +44,7 @@
 
 /// Hosts of each other cell that pass a reader's table on. One may be dead or lose the datagram,
 /// and a reader that isn't heard for 0.9 s counts as gone.
-constexpr std::size_t kPassingHosts = 2;
+constexpr std::size_t kForwarders = 2;
 /// Least time between two tables of news. A reader repeats those of the last 1.2 s, some KB, and a
 /// link of 20 Mbit/s loses datagrams when they come faster than it carries them.
 constexpr std::chrono::milliseconds kNewsInterval{100};
@@ -60,7 +60,7 @@
   const bool has_relief = telling.reliefs != state.load_reliefs;
   const auto since = now - telling.told_at;
   Refill(telling, static_cast<std::size_t>(CellHosts(state)), now);
-  const auto repeat = is_reader || IsCellTeller(state, now) ? kLoadRepeat : kCellRepeat;
+  const auto repeat = is_reader || IsCellAggregator(state, now) ? kLoadRepeat : kCellRepeat;
   const auto least = has_changed ? kLeastInterval : kReliefInterval;
   // Tables for the cell don't put off those for all: hosts that miss them take over the reads.
   const bool is_due_for_all = is_reader && now - telling.told_all_at >= kLoadRepeat;
@@ -134,15 +134,15 @@
 }
 
 std::vector<std::string> TakeCellTargets(Telling& telling, const State& state, TimePoint now) {
-  if (now - telling.cell_told_at < internal::kCellInterval || !IsCellTeller(state, now)) {
+  if (now - telling.cell_told_at < internal::kCellInterval || !IsCellAggregator(state, now)) {
     return {};
   }
   telling.cell_told_at = now;
   return CellTargets(state, telling.cell_rounds++, 1);
 }
 
-std::vector<std::string> TakePassingHosts(Telling& telling, const State& state) {
-  return CellTargets(state, telling.cell_rounds++, internal::kPassingHosts);
+std::vector<std::string> TakeForwarders(Telling& telling, const State& state) {
+  return CellTargets(state, telling.cell_rounds++, internal::kForwarders);
 }
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/telling.h
+++ b/src/snipeturn/entry/telling.h
@@ -49,7 +49,7 @@
 [[nodiscard]] bool IsInAudience(const State& state, Audience audience, const std::string& host);
 
 /// @brief Chooses the hosts that pass a table for all hosts on to the other cells.
-[[nodiscard]] std::vector<std::string> TakePassingHosts(Telling& telling, const State& state);
+[[nodiscard]] std::vector<std::string> TakeForwarders(Telling& telling, const State& state);
 
 /// @brief Decides whether the sum of the cell is due, and counts it as told.
 /// @return Hosts that are to be told now; none when this host doesn't tell the sum.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -292,10 +292,10 @@
           if (on_configuration_wanted_) {
             on_configuration_wanted_();
           }
-        } else if constexpr (std::is_same_v<Item, entry::PassLoadOn>) {
-          PassLoadOn(std::move(item.load));
-        } else if constexpr (std::is_same_v<Item, entry::PassCellLoadOn>) {
-          PassCellLoadOn(std::move(item.sum));
+        } else if constexpr (std::is_same_v<Item, entry::ForwardLoad>) {
+          ForwardLoad(std::move(item.load));
+        } else if constexpr (std::is_same_v<Item, entry::ForwardCellLoad>) {
+          ForwardCellLoad(std::move(item.sum));
         } else if constexpr (std::is_same_v<Item, entry::AskConfirmation>) {
           peers_->Send(EncodeQuestion(options_.entry.host, item), item.host);
         } else if constexpr (std::is_same_v<Item, entry::AnswerConfirmation>) {
@@ -336,10 +336,10 @@
     return;
   }
   const std::string datagram = EncodeLoad(entry::MakeLoadTable(state_, now));
-  const bool has_passing_hosts = audience == entry::Audience::kAll && entry::HasCells(state_);
-  SendTo(datagram, has_passing_hosts ? entry::Audience::kOwnCell : audience);
-  if (has_passing_hosts) {
-    for (const std::string& host : entry::TakePassingHosts(telling_, state_)) {
+  const bool has_forwarders = audience == entry::Audience::kAll && entry::HasCells(state_);
+  SendTo(datagram, has_forwarders ? entry::Audience::kOwnCell : audience);
+  if (has_forwarders) {
+    for (const std::string& host : entry::TakeForwarders(telling_, state_)) {
       peers_->Send(datagram, host);
     }
   }
@@ -351,8 +351,8 @@
   });
 }
 
-void EntryRuntime::PassLoadOn(entry::PeerLoadReceived load) {
-  load.is_passed_on = true;
+void EntryRuntime::ForwardLoad(entry::PeerLoadReceived load) {
+  load.is_forwarded = true;
   SendTo(EncodeLoad(load), entry::Audience::kOwnCell);
 }
 
@@ -368,8 +368,8 @@
   }
 }
 
-void EntryRuntime::PassCellLoadOn(entry::CellLoadReceived sum) {
-  sum.is_passed_on = true;
+void EntryRuntime::ForwardCellLoad(entry::CellLoadReceived sum) {
+  sum.is_forwarded = true;
   SendTo(EncodeCellLoad(options_.entry.host, sum), entry::Audience::kOwnCell);
 }
 
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -142,8 +142,8 @@
   void DoHousekeeping();
   void TellCells(TimePoint now);
   void SendTo(std::string_view datagram, entry::Audience audience);
-  void PassLoadOn(entry::PeerLoadReceived load);
-  void PassCellLoadOn(entry::CellLoadReceived sum);
+  void ForwardLoad(entry::PeerLoadReceived load);
+  void ForwardCellLoad(entry::CellLoadReceived sum);
   void TellPeers(TimePoint now);
 
   boost::asio::io_context& context_;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -129,7 +129,7 @@
   received.zone = root["zone"].asString();
   received.cell = root["cell"].asString();
   received.told_at = DecodeTime(root["told_us"]);
-  received.is_passed_on = root["passed_on"].asBool();
+  received.is_forwarded = root["forwarded"].asBool();
   received.is_stopping = root["stopping"].asBool();
   received.news = root["news"].asUInt64();
   received.configuration_offset = root["configuration"].asUInt64();
@@ -170,7 +170,7 @@
   sum.cell = root["cell"].asString();
   sum.zone = root["zone"].asString();
   sum.hosts = root["hosts"].asInt();
-  sum.is_passed_on = root["passed_on"].asBool();
+  sum.is_forwarded = root["forwarded"].asBool();
   auto load = DecodeRows(root[kSum]);
   if (!load || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
@@ -216,7 +216,7 @@
   if (!load) {
     return std::nullopt;
   }
-  message.is_passed_on = load->is_passed_on;
+  message.is_forwarded = load->is_forwarded;
   message.content = std::move(*load);
   return message;
 }
@@ -248,8 +248,8 @@
     root["cell"] = load.cell;
   }
   root["told_us"] = Json::Int64{load.told_at.time_since_epoch().count()};
-  if (load.is_passed_on) {
-    root["passed_on"] = true;
+  if (load.is_forwarded) {
+    root["forwarded"] = true;
   }
   root["stopping"] = load.is_stopping;
   root["news"] = Json::UInt64{load.news};
@@ -284,7 +284,7 @@
   root["cell"] = sum.cell;
   root["zone"] = sum.zone;
   root["hosts"] = sum.hosts;
-  root["passed_on"] = sum.is_passed_on;
+  root["forwarded"] = sum.is_forwarded;
   root[internal::kSum] = internal::EncodeRows(sum.load);
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
@@ -349,7 +349,7 @@
                            break;
                          }
                          if (auto message = DecodePeerMessage({buffer_.data(), count})) {
-                           if (!message->is_passed_on) {
+                           if (!message->is_forwarded) {
                              heard_[message->host] = from;
                              peers_.emplace(message->host, from);
                            }
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -44,7 +44,7 @@
                entry::ConfirmationAnswered>
       content;
   /// It came by way of another host.
-  bool is_passed_on{false};
+  bool is_forwarded{false};
 };
 
 /// @brief Reads a message of another host.
--- a/test/snipeturn/entry/cells_test.cc
+++ b/test/snipeturn/entry/cells_test.cc
@@ -97,7 +97,7 @@
   CHECK(Tokens("engine-1") == 3000);
   Do(Sum("zone-1", "engine-1", 5000));  // Of a host that has not read the hosts yet.
   CHECK(Tokens("engine-1") == 3000);
-  CHECK(All<PassCellLoadOn>().empty());
+  CHECK(All<ForwardCellLoad>().empty());
 }
 
 // Guards against starts that add up while some hosts have read the others and some have not: a host
@@ -163,14 +163,14 @@
 }
 
 // Guards against a sum that goes round between cells.
-TEST_CASE_METHOD(CellsFixture, "sum_ofOtherCell_passedOnOnce", "[entry]") {
+TEST_CASE_METHOD(CellsFixture, "sum_ofOtherCell_forwardedOnce", "[entry]") {
   Adopt(295);
   Do(Sum("zone-1", "engine-1", 5000));
-  REQUIRE(All<PassCellLoadOn>().size() == 1);
-  CellLoadReceived sum = All<PassCellLoadOn>()[0].sum;
-  sum.is_passed_on = true;
+  REQUIRE(All<ForwardCellLoad>().size() == 1);
+  CellLoadReceived sum = All<ForwardCellLoad>()[0].sum;
+  sum.is_forwarded = true;
   Do(sum);
-  CHECK(All<PassCellLoadOn>().empty());
+  CHECK(All<ForwardCellLoad>().empty());
 }
 
 // Guards against sums that depend on one host of a cell: each round goes to another.
@@ -186,33 +186,33 @@
 }
 
 // Guards against a reader's table that floods its own link: 294 datagrams of some KB each.
-TEST_CASE_METHOD(CellsFixture, "readerTable_forAll_passedOnByTwoHostsOfEachCell", "[entry]") {
+TEST_CASE_METHOD(CellsFixture, "readerTable_forAll_forwardedByTwoHostsOfEachCell", "[entry]") {
   Adopt(295);
-  const std::vector<std::string> hosts = TakePassingHosts(telling, state);
+  const std::vector<std::string> hosts = TakeForwarders(telling, state);
   CHECK(hosts.size() == 2 * (kZones - 1));
   CHECK(std::set<std::string>(hosts.begin(), hosts.end()).size() == hosts.size());
   PeerLoadReceived table = Table(1, "engine-1", 3000);
   Do(table);
-  REQUIRE(All<PassLoadOn>().size() == 1);
-  table = All<PassLoadOn>()[0].load;
-  table.is_passed_on = true;
+  REQUIRE(All<ForwardLoad>().size() == 1);
+  table = All<ForwardLoad>()[0].load;
+  table.is_forwarded = true;
   table.told_at += 1ms;
   Do(table);
-  CHECK(All<PassLoadOn>().empty());
+  CHECK(All<ForwardLoad>().empty());
   Do(Table(6, "engine-1", 3000));  // Of this cell.
-  CHECK(All<PassLoadOn>().empty());
+  CHECK(All<ForwardLoad>().empty());
 }
 
 // Guards against a paused host that passes on an old table when it wakes: it looked like a restart
 // of the reader, and every host of the cell read the list.
-TEST_CASE_METHOD(CellsFixture, "readerTable_passedOnLate_ignored", "[entry]") {
+TEST_CASE_METHOD(CellsFixture, "readerTable_forwardedLate_ignored", "[entry]") {
   Adopt(295);
   PeerLoadReceived table = Table(1, "", 0);
   table.told_at = now;
   table.news = 7;
   table.list_age = 100ms;
   Do(table);
-  table.is_passed_on = true;
+  table.is_forwarded = true;
   table.told_at = now - 2s;
   table.news = 3;
   Do(table);
@@ -225,35 +225,35 @@
 }
 
 // Guards against a cell whose sum nobody tells any more once the host that did has died.
-TEST_CASE_METHOD(CellsFixture, "teller_diesOrStops_anotherTells", "[entry]") {
+TEST_CASE_METHOD(CellsFixture, "aggregator_diesOrStops_anotherTakesOver", "[entry]") {
   Adopt(295);
-  CHECK(IsCellTeller(state, now));
+  CHECK(IsCellAggregator(state, now));
   for (int host = 6; host < 295; host += kZones) {
     Do(Table(host, "", 0));
   }
-  int tellers = 0;
-  std::string teller;
+  int aggregators = 0;
+  std::string aggregator;
   for (int host = 0; host < 295; host += kZones) {
     State other = state;
     other.options.host = NameOf(host);
     other.peers.erase(NameOf(host));
     other.peers[NameOf(0)] = state.peers.at(NameOf(6));
     other.peers.erase(NameOf(host));
-    if (IsCellTeller(other, now)) {
-      ++tellers;
-      teller = NameOf(host);
+    if (IsCellAggregator(other, now)) {
+      ++aggregators;
+      aggregator = NameOf(host);
     }
   }
-  CHECK(tellers == 1);
-  state.options.host = teller == NameOf(6) ? NameOf(12) : NameOf(6);
-  CHECK_FALSE(IsCellTeller(state, now));
-  state.peers[teller].is_stopping = true;
+  CHECK(aggregators == 1);
+  state.options.host = aggregator == NameOf(6) ? NameOf(12) : NameOf(6);
+  CHECK_FALSE(IsCellAggregator(state, now));
+  state.peers[aggregator].is_stopping = true;
   int others = 0;
   for (const auto& [name, peer] : state.peers) {
     State other = state;
     other.options.host = name;
     other.peers.erase(name);
-    others += name != teller && IsCellTeller(other, now) ? 1 : 0;
+    others += name != aggregator && IsCellAggregator(other, now) ? 1 : 0;
   }
   CHECK(others >= 1);
 }
@@ -262,7 +262,7 @@
 TEST_CASE_METHOD(CellsFixture, "load_changed_toldToCellOnly", "[entry]") {
   Adopt(295);
   HearAll(295);
-  REQUIRE_FALSE(IsCellTeller(state, now));
+  REQUIRE_FALSE(IsCellAggregator(state, now));
   REQUIRE_FALSE(IsListReader(state, now));
   REQUIRE_FALSE(IsConfigurationReader(state, now));
   state.load_changes += 1;
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -117,7 +117,7 @@
   sum.cell = "zone-a/1";
   sum.zone = "zone-a";
   sum.hosts = 49;
-  sum.is_passed_on = true;
+  sum.is_forwarded = true;
   sum.load["engine-1"] = {12, 40000, 6000};
   sum.outcomes["engine-1"].count.failures = 2.5;
   sum.outcomes["engine-1"].count.answers = 12;
@@ -130,7 +130,7 @@
   CHECK(read->cell == "zone-a/1");
   CHECK(read->zone == "zone-a");
   CHECK(read->hosts == 49);
-  CHECK(read->is_passed_on);
+  CHECK(read->is_forwarded);
   CHECK(read->load.at("engine-1").tokens == 40000);
   CHECK(read->load.at("engine-1").unread_tokens == 6000);
   CHECK(read->outcomes.at("engine-1").count.failures == Approx(2.5));
