Refuse every request after the decision to exit, and answer all open ones

Cause: the reducer decided to exit once no request was open, and the event loop then ran on for 150 ms to send the last bytes. Connections were still read in that time and requests still passed on; the process ended with them at an upstream and no response (LOST). Found besides: a connection that the system had accepted at the moment the listener was closed was dropped; open requests at the end of the grace period got no response; a request that was read on a connection whose last response was still being sent was passed on without a connection to answer on.

Change: entry/shutdown holds the planned stop. After the decision every arrival is refused as not run and nothing is sent; open requests end as 502, 503 or a broken stream.

Ruled out: snipeturnd: its waiter refuses after the exit and waits until the HTTP server has no open request.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -158,6 +158,9 @@
 }
 
 void DispatchQueue(EventScope& scope) {
+  if (scope.state.is_exiting) {
+    return;
+  }
   struct QueuedRequest {
     int priority;
     double served;
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -139,8 +139,11 @@
   UpstreamId id;
 };
 
-/// The process has nothing left to do.
-struct Exit {};
+/// The process has nothing left to do but to send its responses and to refuse requests.
+struct Exit {
+  /// Time by which the process has to end.
+  TimePoint deadline{};
+};
 
 using Effect = std::variant<Send,
                             CancelAttempt,
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/routing.h"
+#include "snipeturn/entry/shutdown.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -22,57 +23,6 @@
 /// once.
 constexpr std::chrono::milliseconds kOtherHostRetryAfter{100};
 
-/// Upper bound on the duration of a request to a plain service, with a wide margin.
-constexpr std::chrono::milliseconds kMaxPlainDuration{800};
-/// Time to the first event of a stream, and between two events, at an engine under load.
-constexpr std::chrono::milliseconds kTimeToFirstEvent{1000};
-constexpr std::chrono::milliseconds kEventInterval{50};
-/// Factor on the forecast length of a stream, since forecasts are often off by a factor.
-constexpr double kLengthMargin = 1.5;
-/// Time until the load balancer stops sending callers to a stopping host. Until then streams are
-/// admitted by their forecast length, since callers can't avoid the host; later only by their
-/// maximum length.
-constexpr std::chrono::milliseconds kBalancerDelay{2500};
-/// Time for a host to serve again after its process has exited.
-constexpr std::chrono::milliseconds kRestartDuration{1200};
-/// A host without a load broadcast for this long may be down.
-constexpr std::chrono::milliseconds kPeerTtl{3200};
-/// Part of the grace period held back, as the process exits a little before it would be killed.
-constexpr std::chrono::milliseconds kGraceMargin{500};
-
-/// Returns whether a request that arrives during shutdown would be cut off by the process's exit.
-bool WouldOutliveProcess(const EventScope& scope, const Request& request) {
-  const State& state = scope.state;
-  if (!state.is_stopping) {
-    return false;
-  }
-  std::chrono::milliseconds duration = kMaxPlainDuration;
-  if (request.kind == RouteKind::kStream) {
-    const bool is_before_balancer_update = scope.now - state.stopping_since < kBalancerDelay;
-    const double tokens = is_before_balancer_update || request.head.max_output_tokens == 0
-                              ? static_cast<double>(request.expected_output_tokens) * kLengthMargin
-                              : static_cast<double>(request.head.max_output_tokens);
-    const double events = tokens / static_cast<double>(request.tokens_per_event) + 1;
-    duration = kTimeToFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
-                                       static_cast<double>(kEventInterval.count()) * events));
-  }
-  return scope.now + duration > state.stopping_since + state.options.bounds.grace - kGraceMargin;
-}
-
-/// Retry-After for a caller that this stopping host refuses: zero if another host of the zone keeps
-/// running, else the time until this host serves again.
-std::chrono::milliseconds RetryAfterShutdown(const EventScope& scope) {
-  const State& state = scope.state;
-  for (const auto& [host, peer] : state.peers) {
-    if (!peer.is_stopping && peer.zone == state.options.zone && scope.now - peer.at < kPeerTtl) {
-      return std::chrono::milliseconds{0};
-    }
-  }
-  return std::max(std::chrono::milliseconds{0},
-                  ToMilliseconds(state.stopping_since + state.options.bounds.grace - scope.now)) +
-         kRestartDuration;
-}
-
 /// Refuses a request that was never added to the state.
 void RefuseArrival(EventScope& scope,
                    const RequestArrived& event,
@@ -133,6 +83,10 @@
 
 void HandleArrival(EventScope& scope, const RequestArrived& event) {
   State& state = scope.state;
+  if (state.is_exiting) {
+    RefuseArrival(scope, event, 503, "stopping", RetryAfterShutdown(scope));
+    return;
+  }
   if (!state.desired) {
     RefuseArrival(scope, event, 503, "no_configuration", kOtherHostRetryAfter);
     return;
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -1,7 +1,5 @@
 #include "snipeturn/entry/reducer.h"
 
-#include <fmt/format.h>
-
 #include <type_traits>
 #include <variant>
 
@@ -15,6 +13,7 @@
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/outcome.h"
 #include "snipeturn/entry/peers.h"
+#include "snipeturn/entry/shutdown.h"
 #include "snipeturn/entry/store_updates.h"
 
 namespace snipeturn::entry {
@@ -24,26 +23,11 @@
 /// Share of the time to fail closed after which the host reports that it is not ready, so that the
 /// balancer sends new callers to other hosts.
 constexpr double kReadyShare = 0.6;
-/// The balancer removes a host after two failed checks, a second apart; new callers arrive until
-/// then.
-constexpr std::chrono::milliseconds kBalancerDelay{2500};
-/// Part of the grace period that is reserved for sending the last bytes to callers.
-constexpr std::chrono::milliseconds kGraceReserve{400};
-constexpr std::chrono::milliseconds kShutdownCheckInterval{100};
 
-void CheckShutdown(EventScope& scope) {
-  State& state = scope.state;
-  const auto stopping = ToMilliseconds(scope.now - state.stopping_since);
-  const bool is_idle = state.requests.empty() && stopping >= kBalancerDelay;
-  if (is_idle || stopping >= state.options.bounds.grace - kGraceReserve) {
-    Log(scope, log_events::kStopped, fmt::format("open={}", state.requests.size()));
-    scope.effects.push_back(Exit{});
+void HandleTimer(EventScope& scope, const TimerKey& key) {
+  if (scope.state.is_exiting) {
     return;
   }
-  Schedule(state.timers, {TimerKind::kEntryShutdown, 0}, scope.now + kShutdownCheckInterval);
-}
-
-void HandleTimer(EventScope& scope, const TimerKey& key) {
   if (key.kind == TimerKind::kEntryUpstream) {
     ReviewUpstreams(scope);
     return;
@@ -130,12 +114,7 @@
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
           state.options.bounds = item.bounds;
         } else if constexpr (std::is_same_v<Item, ShutdownRequested>) {
-          if (!state.is_stopping) {
-            state.is_stopping = true;
-            state.stopping_since = scope.now;
-            Log(scope, log_events::kStopping, fmt::format("open={}", state.requests.size()));
-            CheckShutdown(scope);
-          }
+          BeginShutdown(scope);
         }
       },
       event);
--- /dev/null
+++ b/src/snipeturn/entry/shutdown.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <chrono>
+
+#include "snipeturn/entry/event_scope.h"
+#include "snipeturn/entry/request.h"
+
+namespace snipeturn::entry::internal {
+
+/// @brief Starts the planned stop of the process: the host is no longer ready, and requests that
+///     would outlive the process are refused. Does nothing during a stop.
+void BeginShutdown(EventScope& scope);
+
+/// @brief Exits once no request is open and the load balancer sends no more callers, or when the
+///     grace period is nearly over; schedules the next check otherwise.
+///
+/// Requests that are open at the end of the grace period get a response that says whether they may
+/// have run; a started stream is broken. After the exit was decided, every request is refused.
+void CheckShutdown(EventScope& scope);
+
+/// @brief Tells whether a request that arrives during shutdown would be cut off by the process's
+///     exit.
+[[nodiscard]] bool WouldOutliveProcess(const EventScope& scope, const Request& request);
+
+/// @return Retry-After for a caller that this stopping host refuses: zero if another host of the
+///     zone keeps running, else the time until this host serves again.
+[[nodiscard]] std::chrono::milliseconds RetryAfterShutdown(const EventScope& scope);
+
+}  // namespace snipeturn::entry::internal
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -119,6 +119,8 @@
   std::uint64_t next_copy{1};
   bool is_stopping{false};
   TimePoint stopping_since{};
+  /// The exit of the process was decided: nothing is sent any more and requests are refused.
+  bool is_exiting{false};
 };
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -38,7 +38,12 @@
   };
   own.on_flushed = [weak = weak_from_this()] {
     const auto self = weak.lock();
-    if (self && self->has_open_request_ && self->handlers_.on_flushed) {
+    if (!self) {
+      return;
+    }
+    if (self->is_closing_) {
+      self->NotifyClosed();
+    } else if (self->has_open_request_ && self->handlers_.on_flushed) {
       self->handlers_.on_flushed(self->key_);
     }
   };
@@ -46,8 +51,8 @@
 }
 
 void CallerConnection::HandleBytes(std::string_view bytes) {
-  if (is_rejected_) {
-    return;  // The rest of a rejected request.
+  if (is_closing_) {
+    return;  // The rest of a rejected request, or a request after the last response.
   }
   input_.append(bytes.data(), bytes.size());
   if (has_open_request_) {
@@ -102,12 +107,18 @@
 }
 
 void CallerConnection::RejectRequest(int status, std::string_view reason) {
-  is_rejected_ = true;
   connection_->Write(FormatResponse(status, "application/problem+json",
                                     fmt::format(R"({{"reason":"{}","outcome":"not_run"}})", reason),
                                     "", true));
+  CloseAfterWrite();
+}
+
+void CallerConnection::CloseAfterWrite() {
+  is_closing_ = true;
   connection_->CloseAfterWrite();
-  NotifyClosed();
+  if (!connection_->is_open()) {
+    NotifyClosed();
+  }
 }
 
 void CallerConnection::SendResponse(std::string_view bytes, bool close) {
@@ -129,8 +140,7 @@
   sent_continue_ = false;
   phase_started_at_ = BootTime();
   if (close || must_close_) {
-    connection_->CloseAfterWrite();
-    NotifyClosed();
+    CloseAfterWrite();
     return;
   }
   parser_.emplace(HttpParser::Kind::kRequest, limits_.max_header_bytes, limits_.max_body_bytes);
@@ -160,7 +170,7 @@
 }
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
-  if (has_open_request_ || is_rejected_) {
+  if (has_open_request_ || is_closing_) {
     return;
   }
   if (parser_->has_begun()) {
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -62,9 +62,9 @@
   ///     arrive too slowly.
   void CheckTimeouts(TimePoint now);
 
-  /// @return True when no request is open and no byte of one has arrived.
+  /// @return True when no request is open, no byte of one has arrived, and all responses are sent.
   [[nodiscard]] bool is_idle() const noexcept {
-    return !has_open_request_ && !parser_->has_begun();
+    return !has_open_request_ && !is_closing_ && !parser_->has_begun() && unwritten_bytes() == 0;
   }
   [[nodiscard]] std::size_t unwritten_bytes() const noexcept {
     return connection_->unwritten_bytes();
@@ -78,6 +78,7 @@
   void ParseNext();
   void FinishExchange(bool close);
   void RejectRequest(int status, std::string_view reason);
+  void CloseAfterWrite();
   void NotifyClosed();
 
   ConnectionKey key_;
@@ -90,7 +91,8 @@
   bool has_open_request_{false};
   bool must_close_{false};
   bool sent_continue_{false};
-  bool is_rejected_{false};
+  /// The last response was written; the connection closes once its bytes are sent.
+  bool is_closing_{false};
   bool notified_closed_{false};
   /// When the idle time or the current request began.
   TimePoint phase_started_at_{};
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -156,7 +156,8 @@
   }
   if (closes_after_write_) {
     Close();
-  } else if (handlers_.on_flushed) {
+  }
+  if (handlers_.on_flushed) {
     handlers_.on_flushed();
   }
 }
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -32,7 +32,7 @@
     /// Receives bytes; they are valid only during the call.
     std::function<void(std::string_view)> on_bytes;
     std::function<void(ConnectionEnd, const std::string& reason)> on_end;
-    /// Called when the output buffer is empty again; optional.
+    /// Called when the output buffer is empty again, also if that closes the connection; optional.
     std::function<void()> on_flushed;
   };
 
@@ -47,7 +47,8 @@
   /// @brief Writes bytes, and buffers those that the socket doesn't accept yet.
   void Write(std::string_view bytes);
 
-  /// @brief Closes once all bytes are written.
+  /// @brief Closes once all bytes are written; bytes that are received until then are still passed
+  /// on.
   void CloseAfterWrite();
 
   /// @brief Closes at once; no handler is called afterwards.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -22,8 +22,11 @@
 constexpr int kBacklog = 1024;
 /// Period of timeout checks, log flushes and load broadcasts.
 constexpr std::chrono::milliseconds kHousekeepingInterval{100};
-/// Time for the last bytes to reach callers before the process exits.
+/// Time from the decision to exit during which requests on open connections are refused, so that a
+/// caller that has just sent one gets a response.
 constexpr std::chrono::milliseconds kExitDelay{150};
+/// Period of checks whether the process can exit.
+constexpr std::chrono::milliseconds kExitCheckInterval{10};
 
 WallTime ReadWallTime() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
@@ -105,13 +108,13 @@
 void EntryRuntime::Accept(Acceptor& acceptor, Listener kind) {
   acceptor.async_accept(
       [this, &acceptor, kind](const boost::system::error_code& error, Connection::Socket socket) {
-        if (!acceptor.is_open()) {
-          return;
-        }
+        // The connection may have been accepted just before the listener was closed.
         if (!error) {
           AddConnection(std::move(socket), kind);
         }
-        Accept(acceptor, kind);
+        if (acceptor.is_open()) {
+          Accept(acceptor, kind);
+        }
       });
 }
 
@@ -311,7 +314,7 @@
                              std::is_same_v<Item, RecordSample>) {
           metrics_.Add(item);
         } else if constexpr (std::is_same_v<Item, entry::Exit>) {
-          Stop();
+          Stop(item.deadline);
         }
       },
       effect);
@@ -378,20 +381,21 @@
   SendToAudience(EncodeCellLoad(options_.entry.host, sum), entry::Audience::kOwnCell);
 }
 
-void EntryRuntime::DoHousekeeping() {
-  const TimePoint now = BootTime();
-  BroadcastLoad(now);
-  SendCellLoad(now);
+void EntryRuntime::CheckConnectionTimeouts(TimePoint now) {
   const ConnectionLimits limits = CurrentLimits();
-  std::vector<std::shared_ptr<CallerConnection>> connections;
-  connections.reserve(connections_.size());
-  for (const auto& [key, connection] : connections_) {
-    connections.push_back(connection);
-  }
-  for (const auto& connection : connections) {
+  // A timeout can remove the connection from the table.
+  const std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections = connections_;
+  for (const auto& [key, connection] : connections) {
     connection->SetLimits(limits);
     connection->CheckTimeouts(now);
   }
+}
+
+void EntryRuntime::DoHousekeeping() {
+  const TimePoint now = BootTime();
+  BroadcastLoad(now);
+  SendCellLoad(now);
+  CheckConnectionTimeouts(now);
   client_.CloseExpiredConnections();
   log_.Flush();
   housekeeping_timer_.expires_after(internal::kHousekeepingInterval);
@@ -402,20 +406,48 @@
   });
 }
 
-void EntryRuntime::Stop() {
+void EntryRuntime::AcceptPending(Acceptor& acceptor, Listener kind) {
+  boost::system::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    Connection::Socket socket(context_);
+    acceptor.accept(socket, error);
+    if (!error) {
+      AddConnection(std::move(socket), kind);
+    }
+  }
+  if (error != boost::asio::error::would_block) {
+    Log({entry::log_events::kStopped, "waiting_connections=" + error.message()});
+  }
+}
+
+void EntryRuntime::Stop(TimePoint deadline) {
   if (is_stopped_) {
     return;
   }
   is_stopped_ = true;
   boost::system::error_code ignored;
+  AcceptPending(front_acceptor_, Listener::kFront);
   front_acceptor_.close(ignored);
   readiness_acceptor_.close(ignored);
+  AwaitExit(BootTime() + internal::kExitDelay, deadline);
+}
+
+void EntryRuntime::AwaitExit(TimePoint earliest, TimePoint deadline) {
+  const TimePoint now = BootTime();
+  CheckConnectionTimeouts(now);
   log_.Flush();
-  housekeeping_timer_.expires_after(internal::kExitDelay);
-  housekeeping_timer_.async_wait([this](const boost::system::error_code& /*error*/) {
-    log_.Flush();
+  const bool are_idle = std::all_of(connections_.begin(), connections_.end(),
+                                    [](const auto& entry) { return entry.second->is_idle(); });
+  if (now >= deadline || (are_idle && now >= earliest)) {
     context_.stop();
-  });
+    return;
+  }
+  housekeeping_timer_.expires_after(internal::kExitCheckInterval);
+  housekeeping_timer_.async_wait(
+      [this, earliest, deadline](const boost::system::error_code& /*error*/) {
+        AwaitExit(earliest, deadline);
+      });
 }
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -136,12 +136,18 @@
                     std::string bytes,
                     std::chrono::milliseconds timeout,
                     std::function<void(ExchangeResult, int, const std::string&)> done);
-  void Stop();
+  /// Stops listening, then refuses what arrives until all responses are sent or the deadline
+  /// passes, and ends the loop.
+  void Stop(TimePoint deadline);
+  void AwaitExit(TimePoint earliest, TimePoint deadline);
+  /// Accepts the connections that the system has already established.
+  void AcceptPending(Acceptor& acceptor, Listener kind);
 
   [[nodiscard]] std::shared_ptr<CallerConnection> FindConnection(ConnectionKey key) const;
   void CloseRequest(entry::RequestKey key);
   void ArmTimer();
   void DoHousekeeping();
+  void CheckConnectionTimeouts(TimePoint now);
   void SendCellLoad(TimePoint now);
   void SendToAudience(std::string_view datagram, entry::Audience audience);
   void ForwardLoad(entry::PeerLoadReceived load);
--- a/test/entry_fuzz/constants.h
+++ b/test/entry_fuzz/constants.h
@@ -16,6 +16,8 @@
 inline constexpr std::chrono::milliseconds kEvacuationBound{2000};
 inline constexpr std::chrono::milliseconds kGracePeriod{8000};
 inline constexpr std::chrono::milliseconds kMaxMessageDelay{150};
+/// Time from a process's decision to exit to its end.
+inline constexpr std::chrono::milliseconds kExitDelay{150};
 /// A host is expected to be up to date when neither it nor the store was degraded for this long.
 inline constexpr std::chrono::milliseconds kSettleTime{3000};
 /// Two upstreams may work on one request for this long during its migration.
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -38,6 +38,17 @@
   world.Crash(second);
 }
 
+/// A planned stop under callers that keep sending on open connections until the process has ended.
+void StopUnderRequests(World& world, int first, int second) {
+  world.Stop(first % 3);
+  constexpr int kRequests = 60;
+  for (int count = 0; count < kRequests; ++count) {
+    world.Request(first % 3,
+                  (count + second) % 4 == 0 ? RouteKind::kIdempotent : RouteKind::kNonIdempotent);
+    world.Run(milliseconds{50});
+  }
+}
+
 const std::vector<FuzzAction<World>>& Actions() {
   static const std::vector<FuzzAction<World>> kActions = {
       {"wait", 16, [](World& w, int first, int) { w.Run(milliseconds{first * 60}); }},
@@ -50,6 +61,7 @@
       {"pause", 3, [](World& w, int first, int) { w.Pause(first % 3); }},
       {"continue", 6, [](World& w, int first, int) { w.Continue(first % 3); }},
       {"stop", 2, [](World& w, int first, int) { w.Stop(first % 3); }},
+      {"stop under requests", 2, StopUnderRequests},
       {"cut", 4,
        [](World& w, int first, int second) {
          w.SetPartition(first % 3, second % 2 == 0, second % 3 == 0);
--- a/test/entry_fuzz/world.cc
+++ b/test/entry_fuzz/world.cc
@@ -208,7 +208,7 @@
                        ConfirmationReceived{item.requested_at, item.offset, item.age});
           }
         } else if constexpr (std::is_same_v<Item, Exit>) {
-          Kill(host);
+          ScheduleExit(host);
         }
         // Dropped copies and upstream reports are not simulated; the rest are logs and metrics.
       },
@@ -284,6 +284,21 @@
   }
 }
 
+void World::ScheduleExit(int number) {
+  const int incarnation = hosts_[number].incarnation;
+  ScheduleAfter(kExitDelay, [this, number, incarnation] {
+    RunOnProcess(number, incarnation, [this, number] {
+      for (const auto& [request, caller] : hosts_[number].callers) {
+        if (!callers_.at(caller).is_done) {
+          ReportViolation(fmt::format("LOST: {} exits without a response to caller {}",
+                                      hosts_[number].name, caller));
+        }
+      }
+      Kill(number);
+    });
+  });
+}
+
 void World::SetPartition(int number, bool from_store, bool from_peers) {
   hosts_[number].is_partitioned_from_store = from_store;
   hosts_[number].is_partitioned_from_peers = from_peers;
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -186,6 +186,8 @@
     std::map<std::uint64_t, Job> jobs;
   };
 
+  /// Ends a host's process a little after it has decided to exit; until then it takes requests.
+  void ScheduleExit(int host);
   void ScheduleAfter(std::chrono::microseconds delay, Action action);
   /// Runs an action on a host if its process is still the same one; if the process is paused, when
   /// it continues.
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -56,6 +56,7 @@
 }
 
 TEST_CASE_METHOD(ShutdownFixture, "shortRequest_hostStopping_served", "[entry]") {
+  ReceiveRequest("/book/open");  // Keeps the process from exiting.
   Apply(ShutdownRequested{});
   AdvanceTime(4000ms);
   ConfirmStore();
@@ -87,6 +88,51 @@
   CHECK(EffectsOf<Exit>().size() == 1);
 }
 
+// Guards against a request that is passed on between the decision to exit and the end of the
+// process, which cuts it off without a response.
+TEST_CASE_METHOD(ShutdownFixture, "request_exitDecided_refusedAsNotRun", "[entry]") {
+  Apply(ShutdownRequested{});
+  AdvanceTime(2600ms);
+  REQUIRE(EffectsOf<Exit>().size() == 1);
+  CHECK(EffectsOf<Exit>()[0].deadline < now - 2600ms + state.options.bounds.grace);
+  ConfirmStore();
+  for (const char* path : {"/book/a", "/look/a", "/long/a"}) {
+    ReceiveRequest(path, 100, 4);
+    CHECK(EffectsOf<Send>().empty());
+    REQUIRE(EffectsOf<Refuse>().size() == 1);
+    CHECK(EffectsOf<Refuse>()[0].status == 503);
+    CHECK(EffectsOf<Refuse>()[0].retry_after > 0ms);
+  }
+  CHECK(state.requests.empty());
+}
+
+// Guards against requests that are cut off at the end of the grace period without a response that
+// says whether they have run, and against queued ones that are sent just before the exit.
+TEST_CASE_METHOD(ShutdownFixture, "openRequests_graceOver_endTruthfully", "[entry]") {
+  const Send stream = StartStream(3);
+  ReceiveRequest("/book/a");
+  const RequestKey sent = requests;
+  // Fills the plain upstream, so that the last request waits in the queue.
+  RequestKey queued = 0;
+  while (queued == 0) {
+    const RequestKey request = ReceiveRequest("/book/a");
+    queued = EffectsOf<Send>().empty() ? request : 0;
+  }
+  Apply(ShutdownRequested{});
+  state.requests.at(queued).deadline = now + 20s;
+  Cancel(state.timers, {TimerKind::kEntryHold, queued});
+  AdvanceTime(state.options.bounds.grace - 400ms);
+  REQUIRE(EffectsOf<Exit>().size() == 1);
+  CHECK(EffectsOf<Send>().empty());
+  REQUIRE(EffectsOf<BreakStream>().size() == 1);
+  CHECK(EffectsOf<BreakStream>()[0].request == stream.request);
+  for (const Refuse& refuse : EffectsOf<Refuse>()) {
+    CHECK(refuse.status == (refuse.request == queued ? 503 : 502));
+    CHECK(refuse.request >= sent);
+  }
+  CHECK(state.requests.empty());
+}
+
 TEST_CASE_METHOD(ShutdownFixture, "readiness_hostStopping_notReady", "[entry]") {
   CHECK(IsReady(state, now));
   Apply(ShutdownRequested{});
--- a/test/snipeturn/loop/caller_connection_test.cc
+++ b/test/snipeturn/loop/caller_connection_test.cc
@@ -142,6 +142,32 @@
   }
 }
 
+// Guards against a request that is accepted on a connection whose last response is still being
+// sent: it could never be answered.
+TEST_CASE_METHOD(CallerFixture, "request_afterLastResponse_notHandedOver", "[loop]") {
+  Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  REQUIRE(ReceivesRequest());
+  // More than the socket's buffers hold, so that bytes are left after the response was written.
+  const std::string body(16 << 20, 'x');
+  connection->SendResponse(FormatResponse(200, "text/plain", body, "", true), true);
+  REQUIRE(connection->unwritten_bytes() > 0);
+  CHECK(closes == 0);
+  CHECK_FALSE(connection->is_idle());
+  Write(caller, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  RunFor(20ms);
+  CHECK(request_count == 1);
+  std::size_t received = 0;
+  caller.non_blocking(true);
+  std::string buffer(1 << 16, '\0');
+  RunUntil([&] {
+    boost::system::error_code error;
+    received += caller.read_some(boost::asio::buffer(buffer), error);
+    return received > body.size() && closes == 1;
+  });
+  CHECK(received > body.size());
+  CHECK(closes == 1);
+}
+
 // Guards against an aborted stream that looks complete to the caller.
 TEST_CASE_METHOD(CallerFixture, "stream_aborted_hasNoLastChunk", "[loop]") {
   Write(caller, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -192,7 +192,7 @@
             writer.write(response(503, b"", [("Not-Executed", "1"), ("Request-Id", request)]))
             return True
         self.record_execution(request)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(self.world.call_s)
         if self.fault == "lose":
             writer.transport.abort()
             return False
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -102,6 +102,8 @@
     """The simulated platform, the daemons, and the observations that the checks use."""
 
     drain_s = 1.0
+    # Time that a plain service takes for a request.
+    call_s = 0.02
 
     def __init__(self, program, seed, folder):
         self.program, self.folder = program, folder
