Keep the copy of a stream when a later copy round fails at its source

Cause: a copy round that ended without an answer, because its source had just gone, aborted the migration and dropped the handle of an earlier round if that reply was handled before the end of the source's connection. A refused connection for a copy call was also reported as a target without room, which blamed the target.

Change: such a reply keeps the migration; the stream resumes from the copy when the source's connection ends. A migration without a copy whose source ends between two tries ends at once instead of at the next try.

Ruled out: the target's copy being incomplete: the target recomputes what the copy lacks, as after the other order of the two events.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -322,6 +322,14 @@
     ResumeAt(scope, request, migration.target);
     return;
   }
+  const bool is_source_gone =
+      event.status == CopyStatus::kNoAnswer || event.status == CopyStatus::kUnknownRun;
+  if (is_source_gone && !migration.handle.empty()) {
+    // The source's connection is about to end; the stream then resumes from the earlier round's
+    // copy.
+    ScheduleMigration(scope, request, kBusyRetryDelay);
+    return;
+  }
   if (event.status != CopyStatus::kCopied) {
     if (event.status == CopyStatus::kNoRoom) {
       request.excluded.insert(migration.target);
@@ -352,9 +360,11 @@
   Migration& migration = *request.migration;
   if (!attempt.is_resume || migration.step != MigrationStep::kResuming) {
     migration.has_source_ended = true;
-    if (migration.is_complete) {
-      ResumeAt(scope, request,
-               migration.target);  // The copy is complete and all events have arrived.
+    const bool is_copying = migration.copy != 0;
+    if (migration.is_complete || (!is_copying && !migration.handle.empty())) {
+      ResumeAt(scope, request, migration.target);
+    } else if (!is_copying) {
+      AbortMigration(scope, request, "source_lost");
     }
     return;
   }
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -337,8 +337,6 @@
                  entry::CopyEnded ended;
                  if (result == ExchangeResult::kComplete) {
                    ended = codec_.decode_copy_response(status, body);
-                 } else if (result == ExchangeResult::kUnsent) {
-                   ended.status = entry::CopyStatus::kNoRoom;
                  }
                  ended.request = key;
                  ended.copy = copy_number;
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -183,6 +183,31 @@
   CHECK(sends[0].resume);
 }
 
+// Guards against a stream that is broken although the target has a copy, because the reply to a
+// later copy round fails before the source's connection is seen to end.
+TEST_CASE_METHOD(MigrationFixture, "laterRound_failsBeforeSourceEnds_copyIsKept", "[entry]") {
+  const CopyStatus status = GENERATE(CopyStatus::kNoAnswer, CopyStatus::kUnknownRun);
+  const StartCopy first = ReceiveTerminationNotice();
+  now += 300ms;
+  EndCopy(first, CopyStatus::kCopied, 6);
+  EndCopy(EffectsOf<StartCopy>().at(0), status);
+  CHECK(EffectsOf<DropCopy>().empty());
+  EndAttempt(send.attempt, AttemptResult::kBroken);
+  CHECK(EffectsOf<BreakStream>().empty());
+  REQUIRE(EffectsOf<Send>().size() == 1);
+  CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
+  CHECK(EffectsOf<Send>()[0].resume->handle == "handle-1");
+}
+
+// Guards against a stream that waits for a copy which nobody makes: its source ends while the next
+// try is scheduled.
+TEST_CASE_METHOD(MigrationFixture, "copy_sourceEndsWhileRetryIsScheduled_streamEnds", "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kBusy);
+  EndAttempt(send.attempt, AttemptResult::kBroken);
+  CHECK(EffectsOf<BreakStream>().size() == 1);
+  CHECK(state.requests.empty());
+}
+
 // Guards against a stream that is lost because the target has no room for the final copy: the
 // source still has the memory.
 TEST_CASE_METHOD(MigrationFixture, "finalCopy_noRoomAtTarget_resumesAtSource", "[entry]") {
