Take a removal that a peer read without failures for a removal

Cause: a host that the store turns away treated every vanished entry as expired, also when a peer with a working store told it that the entry was removed. Its streams at that engine were not moved and broke two seconds later.

Change: the update between hosts says whether the sender may have seen an expiry; only then does a receiver's own outage count. Engines without an entry are asked for their report even while peers read the list.

--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -215,11 +215,13 @@
   if (found == scope.state.upstreams.end() || found->second.phase == UpstreamPhase::kLeaving) {
     return;
   }
+  UpstreamUnlisted update = event;
+  update.may_have_expired = event.may_have_expired && IsStoreOutage(scope);
   if (event.source == UpdateSource::kStore) {
-    QueueUpdate(scope, event);
+    QueueUpdate(scope, update);
   }
   Upstream& upstream = found->second;
-  if (!IsStoreOutage(scope)) {
+  if (!update.may_have_expired) {
     upstream.was_unlisted = true;
     StartLeaving(scope, upstream, "entry_removed");
     return;
@@ -266,9 +268,7 @@
 void ReadReports(EventScope& scope) {
   State& state = scope.state;
   Schedule(state.timers, {TimerKind::kEntryReports, 0}, scope.now + kReportInterval);
-  if (IsUpstreamListFresh(state, scope.now)) {
-    return;
-  }
+  const bool is_list_fresh = IsUpstreamListFresh(state, scope.now);
   std::set<UpstreamId> requested;
   for (const auto& [key, request] : state.requests) {
     if (request.kind != RouteKind::kStream) {
@@ -276,8 +276,12 @@
     }
     for (const Attempt& attempt : request.attempts) {
       const auto upstream = state.upstreams.find(attempt.upstream);
-      if (upstream != state.upstreams.end() && upstream->second.phase != UpstreamPhase::kLeaving &&
-          requested.insert(attempt.upstream).second) {
+      // Whether an upstream without an entry is leaving is known only from its report.
+      const bool is_needed =
+          upstream != state.upstreams.end() &&
+          (upstream->second.phase == UpstreamPhase::kMissing ||
+           (upstream->second.phase == UpstreamPhase::kServing && !is_list_fresh));
+      if (is_needed && requested.insert(attempt.upstream).second) {
         scope.effects.push_back(ReadReport{attempt.upstream, upstream->second.entry.endpoint});
       }
     }
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -30,13 +30,14 @@
 }
 
 /// Encodes an update of the upstream list as an array, which keeps datagrams small. An entry that
-/// was removed has the number, the offset and the id only.
+/// was removed has the number, the offset, the id and whether it may have expired only.
 Json::Value EncodeListUpdate(const entry::PeerUpdate& update) {
   Json::Value row(Json::arrayValue);
   row.append(Json::UInt64{update.number});
   if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&update.notice)) {
     row.append(Json::UInt64{unlisted->offset});
     row.append(unlisted->id);
+    row.append(unlisted->may_have_expired);
     return row;
   }
   const auto& listed = std::get<entry::UpstreamListed>(update.notice);
@@ -56,19 +57,23 @@
 }
 
 std::optional<entry::PeerUpdate> DecodeListUpdate(const Json::Value& row) {
-  constexpr Json::ArrayIndex kUnlistedLength = 3;
+  // Hosts of an earlier version send removed entries without their last column.
+  constexpr Json::ArrayIndex kMinUnlistedLength = 3;
+  constexpr Json::ArrayIndex kUnlistedLength = 4;
   constexpr Json::ArrayIndex kListedLength = 12;
-  if (!row.isArray() || (row.size() != kUnlistedLength && row.size() != kListedLength) ||
-      !row[2].isString() || row[2].asString().empty()) {
+  if (!row.isArray() || row.size() < kMinUnlistedLength ||
+      (row.size() > kUnlistedLength && row.size() != kListedLength) || !row[2].isString() ||
+      row[2].asString().empty()) {
     return std::nullopt;
   }
   Json::ArrayIndex column = 0;
   const std::uint64_t number = row[column++].asUInt64();
   const std::uint64_t offset = row[column++].asUInt64();
   const std::string id = row[column++].asString();
-  if (row.size() == kUnlistedLength) {
-    return entry::PeerUpdate{number,
-                             entry::UpstreamUnlisted{id, offset, entry::UpdateSource::kPeer}};
+  if (row.size() <= kUnlistedLength) {
+    const bool may_have_expired = row.size() < kUnlistedLength || row[column].asBool();
+    return entry::PeerUpdate{
+        number, entry::UpstreamUnlisted{id, offset, entry::UpdateSource::kPeer, may_have_expired}};
   }
   entry::UpstreamListed listed;
   listed.source = entry::UpdateSource::kPeer;
--- a/test/snipeturn/entry/store_updates_test.cc
+++ b/test/snipeturn/entry/store_updates_test.cc
@@ -113,6 +113,53 @@
   }
 }
 
+// Guards against streams that are lost with an engine whose entry was removed: a host that the
+// store turns away took the removal, which its peers read without failures, for an expired entry.
+TEST_CASE_METHOD(StoreUpdatesFixture,
+                 "upstream_peerReadsRemovalDuringOwnOutage_leaves",
+                 "[entry]") {
+  AddUpstream("engine-1", "engines");
+  AddUpstream("engine-2", "engines");
+  ReceiveRequest("/long/a", 3000, 2000);
+  const Send send = EffectsOf<Send>().at(0);
+  DeliverEvents(send.attempt, 5);
+  Apply(StoreReadFailed{"status 429"});
+  PeerLoadReceived load;
+  load.host = "host-2";
+  Apply(load);
+  load.last_update = 1;
+  UpstreamUnlisted removed{send.upstream, 100, UpdateSource::kPeer, false};
+  SECTION("peer reads the store without failures") {
+    load.recent_updates = {{1, removed}};
+    Apply(load);
+    CHECK(EffectsOf<StartCopy>().size() == 1);
+  }
+  SECTION("peer is turned away too: the upstream is asked") {
+    removed.may_have_expired = true;
+    load.recent_updates = {{1, removed}};
+    load.list_age = 0ms;
+    Apply(load);
+    CHECK(EffectsOf<StartCopy>().empty());
+    AdvanceTime(400ms);
+    REQUIRE_FALSE(EffectsOf<ReadReport>().empty());
+    CHECK(EffectsOf<ReadReport>()[0].upstream == send.upstream);
+  }
+}
+
+// Guards against removals that a host passes on without saying whether it could read the store.
+TEST_CASE_METHOD(StoreUpdatesFixture, "removal_readInOutage_toldAsPossiblyExpired", "[entry]") {
+  const bool is_outage = GENERATE(true, false);
+  AddUpstream("plain-1", "plain");
+  if (is_outage) {
+    Apply(StoreReadFailed{"down"});
+  }
+  Apply(UpstreamUnlisted{"plain-1", 100});
+  const PeerLoadReceived table = MakeLoadBroadcast(state, now);
+  const auto* told = std::get_if<UpstreamUnlisted>(&table.recent_updates.back().notice);
+  REQUIRE(told != nullptr);
+  CHECK(told->may_have_expired == is_outage);
+}
+
 TEST_CASE_METHOD(StoreUpdatesFixture,
                  "upstream_entryRemovedWithoutOutage_leavesAtOnce",
                  "[entry]") {
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -70,6 +70,9 @@
   listed.entry.leaving = true;
   listed.entry.start_time_ms = 1790101750402;
   load.recent_updates = {{6, listed}, {7, entry::UpstreamUnlisted{"engine-2", 13}}};
+  const bool may_have_expired = GENERATE(true, false);
+  std::get<entry::UpstreamUnlisted>(load.recent_updates[1].notice).may_have_expired =
+      may_have_expired;
   const auto message = DecodePeerMessage(EncodeLoad(load));
   REQUIRE(message);
   CHECK(message->host == "host-1");
@@ -93,6 +96,7 @@
   CHECK(first.source == entry::UpdateSource::kPeer);
   const auto& second = std::get<entry::UpstreamUnlisted>(received->recent_updates[1].notice);
   CHECK(second.offset == 13);
+  CHECK(second.may_have_expired == may_have_expired);
 }
 
 // Guards against a malformed datagram that crashes the process.
