Don't stop a generation for its last copy round while the links are busy

Cause: 1.1 s after a termination notice a generation was stopped for its last copy round whatever the earlier rounds took. Copies of an engine go out one after another, so the stopped generation waited behind the first copies of others: 0.3 to 0.9 s in the logs, a pause that the caller notices, and the engine was often gone before.

Change: a generation is stopped only after a short round, which shows idle links. Otherwise copying goes on; when the engine ends, the stream resumes from the last copy and the target recomputes the rest.

resume_targetRefusesAfterDrain_notSentBackToSource reached its last round by the deadline; it now does by a short second round, at the same time after the notice.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -17,14 +17,9 @@
 namespace snipeturn::entry::internal {
 namespace {
 
-/// A copy round that took no longer leaves so little memory to copy that the pause for the final
-/// round isn't noticed.
+/// A copy round that took no longer leaves so little memory to copy, and found the links so idle,
+/// that the pause for the final round isn't noticed.
 constexpr std::chrono::milliseconds kShortCopyRound{90};
-/// Maximum copy rounds before the final one.
-constexpr int kMaxCopyRounds = 5;
-/// Time after a termination notice at which the generation is stopped for the final round even if
-/// the pause will be noticed.
-constexpr std::chrono::milliseconds kFinalCopyDeadline{1100};
 /// Concurrent copies that this host requests from one engine; the engine sends them one by one.
 constexpr int kMaxCopiesPerSource = 2;
 /// A generation that is expected to end sooner is not migrated.
@@ -341,11 +336,9 @@
     }
     return;
   }
-  const auto source = state.upstreams.find(migration.source);
-  const bool is_late = source == state.upstreams.end() ||
-                       scope.now - source->second.phase_since > kFinalCopyDeadline;
-  StartCopyRound(scope, request,
-                 duration <= kShortCopyRound || migration.rounds >= kMaxCopyRounds || is_late);
+  // While the links are busy the generation isn't stopped, since it would wait behind other copies.
+  // If its engine ends first, the target recomputes what the last round lacks.
+  StartCopyRound(scope, request, duration <= kShortCopyRound);
 }
 
 void HandleMigratingAttemptEnd(EventScope& scope,
