Judge unanswered requests in the soak, and exit with 2 for wrong usage

The soak counted cut requests without judging them, which is why it did not see requests lost at a planned stop. It now fails for a request to a plain service that ran and got no response while its daemon was stopped by SIGTERM, and neither killed nor paused since.

snipeturnd and snipeturn_entry exited with 255 for wrong arguments, as docopt ends the process by itself; their help says 2. ParseArguments handles help, version and errors for both.

--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -1,6 +1,5 @@
 // The entry daemon, which serves callers on a host of the platform.
 
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -22,6 +21,7 @@
 #include "platform/entry_wire_codec.h"
 #include "platform/settings.h"
 #include "platform/store_follower.h"
+#include "snipeturn/base/command_line.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/loop/entry_runtime.h"
 #include "snipeturn/loop/log_writer.h"
@@ -148,9 +148,13 @@
 };
 
 int Main(const std::vector<std::string>& arguments) {
-  auto parsed = docopt::docopt(kUsage, arguments, true, "snipeturn_entry " SNIPETURN_VERSION);
+  int exit_code = 0;
+  const auto parsed = ParseArguments(kUsage, arguments, "snipeturn_entry", exit_code);
+  if (!parsed) {
+    return exit_code;
+  }
   const char* from_environment = std::getenv("SNIPETURN_CONFIG");
-  const std::string path = parsed["--settings"]          ? parsed["--settings"].asString()
+  const std::string path = parsed->at("--settings")      ? parsed->at("--settings").asString()
                            : from_environment != nullptr ? from_environment
                                                          : "";
   std::string failure;
@@ -159,7 +163,7 @@
     fmt::print(stderr, "snipeturn_entry: {}: {}\n", path, failure);
     return 1;
   }
-  if (parsed["--check"].asBool()) {
+  if (parsed->at("--check").asBool()) {
     fmt::print("{}: valid\n", path);
     return 0;
   }
--- a/src/snipeturnd/main.cc
+++ b/src/snipeturnd/main.cc
@@ -1,6 +1,5 @@
 // Main program of the daemon that runs on each entry host.
 
-#include <docopt/docopt.h>
 #include <fmt/format.h>
 #include <pthread.h>
 #include <signal.h>
@@ -12,6 +11,7 @@
 #include <thread>
 #include <vector>
 
+#include "snipeturn/base/command_line.h"
 #include "snipeturn/runtime/runtime.h"
 #include "snipeturn/settings/options_file.h"
 
@@ -73,15 +73,19 @@
 }
 
 int Main(const std::vector<std::string>& arguments) {
-  auto parsed = docopt::docopt(kUsage, arguments, true, "snipeturnd " SNIPETURN_VERSION);
-  const std::string path = parsed["--config"].asString();
+  int exit_code = 0;
+  const auto parsed = ParseArguments(kUsage, arguments, "snipeturnd", exit_code);
+  if (!parsed) {
+    return exit_code;
+  }
+  const std::string path = parsed->at("--config").asString();
   OptionsFailure failure;
   const std::optional<Options> options = ReadOptionsFile(path, failure);
   if (!options) {
     fmt::print(stderr, "snipeturnd: {}: {}\n", path, ToString(failure.fault));
     return 1;
   }
-  if (parsed["--check"].asBool()) {
+  if (parsed->at("--check").asBool()) {
     fmt::print("{}: valid\n", path);
     return 0;
   }
--- a/test/process/planned_stop_test.py
+++ b/test/process/planned_stop_test.py
@@ -43,8 +43,7 @@
     """Sends one short request on an open connection after a wait, in two parts if it is odd."""
     await asyncio.sleep(wait)
     reader, writer = connection
-    world.next_request += 1
-    request = f"r{world.next_request}"
+    request = world.new_request()
     world.daemon_by_request[request] = daemon
     text = (f"POST /u/a HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {request}\r\nApi-Key: key-1\r\n"
             f"Deadline-Ms: 5000\r\nContent-Length: 4\r\n\r\nbody").encode()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -50,6 +50,8 @@
         self.world, self.name, self.process = world, name, None
         self.front, self.ready = free_port(), free_port()
         self.stopping = False
+        # Times of the last SIGTERM and SIGKILL.
+        self.terminated_at, self.killed_at = 0.0, 0.0
         self.pauses, self.paused_until = 0, 0.0
         self.path = os.path.join(world.folder, f"{name}.json")
         with open(self.path, "w") as file:
@@ -85,12 +87,17 @@
     async def restart(self, number):
         """Ends the process by a signal, waits until it has exited and starts it again."""
         self.stopping = number == signal.SIGTERM
+        if self.stopping:
+            self.terminated_at = time.monotonic()
+        else:
+            self.killed_at = time.monotonic()
         self.signal(number)
         try:
             await asyncio.wait_for(self.process.wait(), 8)
         except asyncio.TimeoutError:
             if self.stopping:
                 self.world.fail(f"STOP: {self.name} did not end within 8 s of SIGTERM")
+                self.killed_at = time.monotonic()
             self.signal(signal.SIGKILL)
             await self.process.wait()
         if self.stopping and self.process.returncode != 0:
@@ -110,6 +117,8 @@
         self.random = random.Random(seed)
         self.executions, self.kv_copies, self.failures = {}, {}, []
         self.refused, self.idempotent, self.counts = set(), set(), {}
+        # Requests whose connection ended without a response during a planned stop.
+        self.unanswered = []
         self.daemon_by_request = {}
         self.version, self.keys, self.revoked_at = 0, set(KEYS), {}
         self.upstreams, self.next_upstream, self.next_request = [], 0, 0
@@ -117,6 +126,10 @@
     def fail(self, text):
         self.failures.append(text)
 
+    def new_request(self):
+        self.next_request += 1
+        return f"r{self.next_request}"
+
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
 
@@ -182,10 +195,8 @@
             daemon.signal(signal.SIGKILL)
 
 
-async def exchange(world, daemon, connection, kind):
+async def exchange(world, daemon, connection, kind, request):
     """Sends one request and checks its response; returns the connection if it stays open."""
-    world.next_request += 1
-    request = f"r{world.next_request}"
     key = world.random.choice(KEYS)
     body = b"x" * world.random.choice((0, 10, 3000))
     prefix = {"stream": "/s/", "unsafe": "/u/", "safe": "/r/"}[kind]
@@ -247,19 +258,26 @@
 
 async def caller(world, end):
     """Sends requests to random daemons until `end`; keeps a connection while it stays usable."""
-    connection, daemon = None, None
+    connection, daemon, opened_at = None, None, 0.0
     while time.monotonic() < end:
         if connection is None:
-            daemon = world.random.choice(world.daemons)
+            daemon, opened_at = world.random.choice(world.daemons), time.monotonic()
         kind = world.random.choice(("stream", "unsafe", "unsafe", "safe"))
         try:
-            connection = await asyncio.wait_for(exchange(world, daemon, connection, kind), 8)
+            request = world.new_request()
+            connection = await asyncio.wait_for(
+                exchange(world, daemon, connection, kind, request), 8)
         except asyncio.TimeoutError:
             world.count(f"{kind} timeout")
             connection = None
         except (OSError, asyncio.IncompleteReadError, ValueError):
             world.count(f"{kind} cut")
             connection = None
+            # Requests to plain services get a response whatever their upstream does; a broken stream
+            # is closed. Only a planned stop, not a kill or a pause, is judged.
+            is_planned = daemon.terminated_at > max(opened_at, daemon.killed_at, daemon.paused_until)
+            if kind != "stream" and is_planned:
+                world.unanswered.append(request)
         await asyncio.sleep(world.random.uniform(0.005, 0.05))
 
 
@@ -318,6 +336,9 @@
 
 def check_executions(world):
     """Checks the executions that the upstreams recorded, after all requests have ended."""
+    for request in world.unanswered:
+        if request in world.executions:
+            world.fail(f"LOST: {request} ran and got no response during a planned stop")
     for request, executions in world.executions.items():
         if request in world.idempotent:
             continue
@@ -334,7 +355,8 @@
         for _ in range(20):
             try:
                 before = world.counts.get("unsafe 200", 0)
-                await asyncio.wait_for(exchange(world, daemon, None, "unsafe"), 3)
+                await asyncio.wait_for(
+                    exchange(world, daemon, None, "unsafe", world.new_request()), 3)
                 if world.counts.get("unsafe 200", 0) > before:
                     break
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
