--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -140,8 +140,8 @@
   UpstreamId id;
   std::uint64_t offset{0};
   UpdateSource source{UpdateSource::kStore};
-  /// The entry may have expired in an outage of the store instead of having been removed. A peer that
-  /// reads the store without failures rules that out.
+  /// The entry may have expired in an outage of the store instead of having been removed. A peer
+  /// that reads the store without failures rules that out.
   bool may_have_expired{true};
 };
 
