Log the prompt parts of failed attempts and whether the upstream disconnected

A line of a failed attempt did not say what the prompt was made of, nor whether the upstream had closed or reset the connection (as a crash does) or the response was malformed, overdue or silent. Both are needed to tell apart a crash that follows the content of requests from one that does not. The parts are logged as hashes in hexadecimal.

Tests: promptParts_anySyntax_decodedInOrder, response_connectionEnds_reasonSaysDisconnected. No decision changes.

--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -14,6 +14,7 @@
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/upstream.h"
+#include "snipeturn/quarantine/fwd.h"
 
 namespace snipeturn::entry {
 
@@ -32,6 +33,8 @@
   std::optional<std::uint64_t> expected_output_tokens;
   /// First part of the prompt, if it is shared with other requests; empty when there is none.
   std::string shared_prefix;
+  /// Parts of the prompt in order. The last one belongs to this request or its session.
+  std::vector<quarantine::PartId> prompt_parts;
   /// Number of events that the caller has from an earlier response; used on resumable routes only.
   std::optional<std::uint64_t> position;
   /// The caller sent a position that can't be parsed.
@@ -67,6 +70,8 @@
   AttemptKey attempt{0};
   AttemptResult result{AttemptResult::kBroken};
   int status{0};
+  /// The upstream closed or reset the connection before the end of its response.
+  bool is_disconnected{false};
   /// The response comes from the upstream itself and may be passed on unchanged.
   bool relayable{false};
   std::string reason;
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -177,10 +177,12 @@
   if (!is_acceptable) {
     request.last_reason = event.reason.empty() ? std::string(ReasonOf(event.result)) : event.reason;
     Log(scope, log_events::kAttemptFailed,
-        fmt::format("id={} upstream={} result={} status={} reason={} after_ms={} events={}",
+        fmt::format("id={} upstream={} result={} status={} reason={} after_ms={} events={} "
+                    "disconnected={} parts={:x}",
                     request.head.id, attempt.upstream, ReasonOf(event.result), event.status,
                     event.reason, ToMilliseconds(scope.now - attempt.sent_at).count(),
-                    request.events));
+                    request.events, event.is_disconnected,
+                    fmt::join(request.head.prompt_parts, ",")));
   }
   if (request.migration || attempt.is_resume) {
     HandleMigratingAttemptEnd(scope, request, attempt, event);
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -109,7 +109,9 @@
       break;
     }
     if (error) {
-      HandleEnd(error == boost::asio::error::eof ? ConnectionEnd::kClosed : ConnectionEnd::kFailed,
+      HandleEnd(error == boost::asio::error::eof         ? ConnectionEnd::kClosed
+                : error == boost::asio::error::timed_out ? ConnectionEnd::kTimedOut
+                                                         : ConnectionEnd::kFailed,
                 error.message());
       return;
     }
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -17,8 +17,10 @@
 enum class ConnectionEnd : std::uint8_t {
   /// The peer closed the connection in order.
   kClosed,
-  /// The connection was reset, timed out or failed otherwise.
+  /// The connection was reset or failed otherwise.
   kFailed,
+  /// The peer doesn't respond any more.
+  kTimedOut,
 };
 
 /// A TCP connection of the event loop: delivers received bytes to a callback and buffers output.
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -178,6 +178,7 @@
   ended.attempt = key;
   ended.reason = reason;
   ended.status = attempt.head.status;
+  ended.is_disconnected = reason.rfind(kDisconnected, 0) == 0;
   switch (result) {
     case ExchangeResult::kUnsent:
       ended.result = entry::AttemptResult::kUnsent;
@@ -197,6 +198,8 @@
         ended.result =
             is_complete ? entry::AttemptResult::kStreamFinished : entry::AttemptResult::kBroken;
         ended.reason = is_complete ? "" : "stream truncated";
+        // Without a length, the end of the connection is the end of the response.
+        ended.is_disconnected = !is_complete && !attempt.head.has_body_length;
       } else {
         ended.result = entry::AttemptResult::kAnswered;
         ended.relayable = !internal::IsNotExecutedStatus(ended.status) &&
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -318,8 +318,13 @@
     FinishExchange(exchange, ExchangeResult::kComplete, "");
     return;
   }
-  const bool is_unsent = channel->connection->written_bytes() == exchange->written_bytes_before;
-  FinishExchange(exchange, is_unsent ? ExchangeResult::kUnsent : ExchangeResult::kBroken, reason);
+  if (channel->connection->written_bytes() == exchange->written_bytes_before) {
+    FinishExchange(exchange, ExchangeResult::kUnsent, reason);
+    return;
+  }
+  FinishExchange(
+      exchange, ExchangeResult::kBroken,
+      end == ConnectionEnd::kTimedOut ? reason : fmt::format("{}: {}", kDisconnected, reason));
 }
 
 void HttpClient::FinishExchange(const ExchangePointer& exchange,
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -29,6 +29,10 @@
 /// Prefix of the reason with which an exchange ends whose response exceeds a size limit.
 inline constexpr std::string_view kUnboundedResponse = "unbounded response";
 
+/// Prefix of the reason with which an exchange ends whose server closed or reset the connection
+/// before the end of its response.
+inline constexpr std::string_view kDisconnected = "disconnected";
+
 /// A request to another process.
 struct HttpCall {
   /// Calls of the same pool share connections; each instance of an upstream has its own pool.
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -51,6 +51,29 @@
   CHECK(decoded.head->key == "secret");
 }
 
+// Guards against a prompt part that is identified differently on two hosts or in two requests.
+TEST_CASE_METHOD(WireCodecFixture, "promptParts_anySyntax_decodedInOrder", "[platform]") {
+  const auto parts_of = [this](const std::string& text) {
+    for (loop::HeaderField& field : head.fields) {
+      if (field.name == "Prompt-Prefix") {
+        field.value = text;
+      }
+    }
+    return codec.decode_request(head).head->prompt_parts;
+  };
+  const auto parts = parts_of("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  REQUIRE(parts.size() == 3);
+  CHECK(parts_of("91bd3f06:7") == std::vector{parts[1]});
+  CHECK(parts_of(" 5c1e07a2 , 91bd3f06:1") == std::vector{parts[0], parts[1]});
+  CHECK(parts_of(",,:5").empty());
+  CHECK(parts_of("").empty());
+  std::string many;
+  for (int number = 0; number < 5000; ++number) {
+    many += std::to_string(number) + ":1,";
+  }
+  CHECK(parts_of(many).size() <= 32);
+}
+
 // Guards against request smuggling: two parsers may interpret such requests differently.
 TEST_CASE_METHOD(WireCodecFixture, "request_ambiguous_rejected", "[platform]") {
   SECTION("no id") {
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -29,8 +29,9 @@
       return id == nullptr || *id == expected_id;
     };
     handlers.on_body = [this](std::string&& bytes) { body += bytes; };
-    handlers.on_end = [this](ExchangeResult ended, const std::string& /*reason*/) {
+    handlers.on_end = [this](ExchangeResult ended, const std::string& why) {
       result = ended;
+      reason = why;
     };
     return client.Start(std::move(call), std::move(handlers));
   }
@@ -50,6 +51,7 @@
 
   HttpClient client;
   std::optional<ExchangeResult> result;
+  std::string reason;
   std::string body;
   std::string expected_id = "1";
   std::uint64_t max_body_bytes{64ULL << 20U};
@@ -67,6 +69,34 @@
   CHECK(SecondCallReusesConnection(server));
 }
 
+// Guards against a lost response that can't be told from a malformed or missing one.
+TEST_CASE_METHOD(ClientFixture, "response_connectionEnds_reasonSaysDisconnected", "[loop]") {
+  Start(300ms);
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  SECTION("closed") {
+    Write(server, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    server.close();
+    REQUIRE(EndsInTime());
+    CHECK(reason.rfind(kDisconnected, 0) == 0);
+  }
+  SECTION("reset") {
+    server.set_option(boost::asio::socket_base::linger(true, 0));
+    server.close();
+    REQUIRE(EndsInTime());
+    CHECK(reason.rfind(kDisconnected, 0) == 0);
+  }
+  SECTION("malformed") {
+    Write(server, "garbage\r\n\r\n");
+    REQUIRE(EndsInTime());
+    CHECK(reason.rfind(kDisconnected, 0) != 0);
+  }
+  SECTION("silent") {
+    REQUIRE(EndsInTime());
+    CHECK(reason.rfind(kDisconnected, 0) != 0);
+  }
+}
+
 TEST_CASE_METHOD(ClientFixture, "response_truncated_broken", "[loop]") {
   Start();
   tcp::socket server = Accept();
