Hold back prompts with parts that crash the engines

Callers saw running streams cut when an engine crashed; requests with one part in their prompt crashed engine after engine. Cause: no host connected a crash to the content of the requests that the engine was about to answer; only the engine was avoided, so the next request went to the next one. Class of fault: a failure is attributed to the server that failed, not to the work that made it fail.

New module quarantine: a log of attempts that were lost before their first event because the upstream disconnected, and a pure function that finds the parts which explain the crashes. An answer clears all parts of its prompt, as a harmful part never gets one. Losses must be improbable at the rate at which attempts without the part are lost; crashes at one moment count once. Parts that were always lost together are suspected together only. entry/crash_reports exchanges the log between hosts (datagrams, comparison with another host every 2 s and more often after a start), refuses matching prompts at once as not run, ends matching requests that have no event yet, and lets one request through from time to time. One host keeps the log's relevant entries in its record of the store.

Further tests: sound requests beside harmful ones, engines that crash by themselves, restarts of one or all hosts with and without the store, trial and release.

--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -33,6 +33,8 @@
   kEntryUpstream,
   kEntryReports,
   kEntryShutdown,
+  kEntryCrashReview,
+  kEntryCrashSync,
 };
 
 /// Identifies one timer, for example the deadline of request 7.
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -43,9 +43,15 @@
 inline constexpr LogEvent kMoveResumed{843, "move_resumed", LogLevel::kInfo};
 inline constexpr LogEvent kMoveFailed{844, "move_failed", LogLevel::kWarning};
 
+inline constexpr LogEvent kAttemptLostUnstarted{851, "attempt_lost_unstarted", LogLevel::kWarning};
+inline constexpr LogEvent kPartsQuarantined{852, "parts_quarantined", LogLevel::kWarning};
+inline constexpr LogEvent kPartsReleased{853, "parts_released", LogLevel::kInfo};
+inline constexpr LogEvent kQuarantineTrial{854, "quarantine_trial", LogLevel::kInfo};
+
 }  // namespace log_events
 
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
+inline constexpr CounterName kQuarantines{"snipeturn_quarantines_total", "change"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- /dev/null
+++ b/src/snipeturn/entry/crash_reports.cc
@@ -0,0 +1,407 @@
+#include "snipeturn/entry/crash_reports.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "snipeturn/base/hash.h"
+#include "snipeturn/base/timers.h"
+#include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/cells.h"
+#include "snipeturn/entry/health.h"
+#include "snipeturn/entry/lifecycle.h"
+
+namespace snipeturn::entry {
+namespace internal {
+namespace {
+
+/// Time for an upstream to send something on another connection, which shows that it has not
+/// crashed; running streams have an event several times in it.
+constexpr std::chrono::milliseconds kConfirmTime{150};
+/// Bytes that were sent before the crash may be read up to this much later.
+constexpr std::chrono::milliseconds kMaxReadDelay{50};
+/// Pause before a report is sent once more, as datagrams get lost.
+constexpr std::chrono::milliseconds kRepeatDelay{200};
+/// Range of the delay before answers are reported, so that one host reports them for all.
+constexpr std::chrono::milliseconds kAnswerReportSpread{100};
+/// Period of reviews while entries are confirmed, reported and held.
+constexpr std::chrono::milliseconds kReviewInterval{50};
+constexpr std::chrono::milliseconds kIdleReviewInterval{10000};
+/// Period of comparisons with another host; a host that has just started compares more often.
+constexpr std::chrono::milliseconds kSyncInterval{2000};
+constexpr std::chrono::milliseconds kStartSyncInterval{300};
+constexpr std::uint64_t kStartSyncRounds{8};
+/// A host without a load table for this long may be down.
+constexpr std::chrono::milliseconds kPeerTtl{3200};
+/// Most crashes in one datagram.
+constexpr std::size_t kMaxCrashesPerReport = 16;
+/// Time from a trial to the next one: a lost trial has been reported by then.
+constexpr std::chrono::milliseconds kMinTrialInterval{2000};
+constexpr std::chrono::milliseconds kMinRetryAfter{1000};
+constexpr std::string_view kQuarantineSubject = "quarantine";
+
+/// Tells whether this host acts for all hosts: it tries suspects and keeps them in the store.
+bool IsFirstHost(const State& state, TimePoint now) {
+  const std::uint64_t own = RendezvousWeight(kQuarantineSubject, state.options.host);
+  const bool is_first_in_cell =
+      std::none_of(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
+        const auto& [host, peer] = entry;
+        return peer.cell == state.cell && now - peer.at < kPeerTtl && !peer.is_stopping &&
+               RendezvousWeight(kQuarantineSubject, host) > own;
+      });
+  const std::uint64_t own_cell = RendezvousWeight(kQuarantineSubject, state.cell);
+  return is_first_in_cell &&
+         std::none_of(state.cells.begin(), state.cells.end(), [&](const auto& entry) {
+           return IsFresh(entry.second, now) &&
+                  RendezvousWeight(kQuarantineSubject, entry.first) > own_cell;
+         });
+}
+
+/// Answers that all hosts begin per second, estimated from those of this host.
+double AnswersPerSecond(const State& state, TimePoint now) {
+  // Counts are halved each second, so that a steady rate sums up to rate / ln 2.
+  const double own = DecayedOutcomes(state.quarantine.answers, now).responses * std::log(2.0);
+  return own * std::max(1, state.hosts);
+}
+
+std::chrono::milliseconds AgeOf(TimePoint at, TimePoint now) {
+  return std::max(std::chrono::milliseconds{0}, ToMilliseconds(now - at));
+}
+
+ReportedCrash MakeReportedCrash(quarantine::EntryId id,
+                                const quarantine::CrashEntry& entry,
+                                TimePoint now) {
+  return {id, entry.crash, entry.parts, entry.answers_per_second, AgeOf(entry.at, now)};
+}
+
+/// Sends a report in datagrams of a bounded size.
+void SendReport(EventScope& scope, const std::string& host, CrashReport report) {
+  while (report.crashes.size() > kMaxCrashesPerReport) {
+    CrashReport part;
+    const auto end = report.crashes.begin() + static_cast<std::ptrdiff_t>(kMaxCrashesPerReport);
+    part.crashes.assign(report.crashes.begin(), end);
+    report.crashes.erase(report.crashes.begin(), end);
+    scope.effects.push_back(SendCrashReport{host, std::move(part)});
+  }
+  scope.effects.push_back(SendCrashReport{host, std::move(report)});
+}
+
+void SendReportTwice(EventScope& scope, CrashReport report) {
+  scope.state.quarantine.repeats.push_back({scope.now + kRepeatDelay, report});
+  SendReport(scope, "", std::move(report));
+}
+
+void ScheduleReview(EventScope& scope, TimePoint due) {
+  const TimerKey key{TimerKind::kEntryCrashReview, 0};
+  const auto pending = scope.state.timers.due_by_key.find(key);
+  if (pending == scope.state.timers.due_by_key.end() || due < pending->second) {
+    Schedule(scope.state.timers, key, due);
+  }
+}
+
+void ConfirmLostAttempts(EventScope& scope) {
+  QuarantineState& own = scope.state.quarantine;
+  CrashReport report;
+  while (!own.unconfirmed.empty() && scope.now - own.unconfirmed.front().at >= kConfirmTime) {
+    const QuarantineState::Unconfirmed lost = std::move(own.unconfirmed.front());
+    own.unconfirmed.pop_front();
+    const auto entry = own.log.entries.find(lost.entry);
+    if (entry == own.log.entries.end()) {
+      continue;
+    }
+    const auto upstream = scope.state.upstreams.find(lost.upstream);
+    const bool is_alive = upstream != scope.state.upstreams.end() &&
+                          upstream->second.last_response_at &&
+                          *upstream->second.last_response_at > lost.at + kMaxReadDelay;
+    Log(scope, log_events::kAttemptLostUnstarted,
+        fmt::format("upstream={} upstream_alive={} parts={:x} answers_per_s={:.1f}", lost.upstream,
+                    is_alive, fmt::join(entry->second.parts, ","),
+                    entry->second.answers_per_second));
+    if (is_alive) {
+      own.log.entries.erase(entry);
+    } else {
+      report.crashes.push_back(MakeReportedCrash(lost.entry, entry->second, scope.now));
+    }
+  }
+  if (!report.crashes.empty()) {
+    SendReportTwice(scope, std::move(report));
+  }
+}
+
+void ReportAnswers(EventScope& scope) {
+  QuarantineState& own = scope.state.quarantine;
+  const std::vector<quarantine::PartId> unshared = quarantine::UnsharedAnswers(own.log);
+  if (unshared.empty()) {
+    own.answers_due.reset();
+    return;
+  }
+  if (!own.answers_due) {
+    const auto delay = std::chrono::milliseconds(
+        static_cast<std::int64_t>(Hash(scope.state.options.host, unshared.front()) %
+                                  static_cast<std::uint64_t>(kAnswerReportSpread.count())));
+    own.answers_due = scope.now + delay;
+  }
+  if (scope.now < *own.answers_due) {
+    return;
+  }
+  own.answers_due.reset();
+  CrashReport report;
+  for (const quarantine::PartId part : unshared) {
+    quarantine::PartAnswer& answer = own.log.answers.at(part);
+    answer.shared_at = answer.at;
+    report.answers.push_back({part, AgeOf(answer.at, scope.now)});
+  }
+  SendReportTwice(scope, std::move(report));
+}
+
+void SendRepeats(EventScope& scope) {
+  auto& repeats = scope.state.quarantine.repeats;
+  while (!repeats.empty() && repeats.front().due <= scope.now) {
+    SendReport(scope, "", std::move(repeats.front().report));
+    repeats.pop_front();
+  }
+}
+
+const quarantine::Suspect* FindSuspect(const State& state,
+                                       const std::vector<quarantine::PartId>& parts) {
+  const auto& suspects = state.quarantine.suspects;
+  const auto found = std::find_if(suspects.begin(), suspects.end(), [&parts](const auto& suspect) {
+    return quarantine::Matches(suspect, parts);
+  });
+  return found == suspects.end() ? nullptr : &*found;
+}
+
+bool IsTrial(const State& state, const quarantine::Suspect& suspect, RequestKey key) {
+  const auto trial = state.quarantine.trials.find(suspect.parts.front());
+  return trial != state.quarantine.trials.end() && trial->second.request == key;
+}
+
+/// Ends the requests that match a new suspect and have no answer yet, before an upstream begins to
+/// answer them.
+void EndHeldRequests(EventScope& scope) {
+  std::vector<RequestKey> keys;
+  for (const auto& [key, request] : scope.state.requests) {
+    const quarantine::Suspect* suspect = FindSuspect(scope.state, request.head.prompt_parts);
+    if (!request.is_started && suspect != nullptr && !IsTrial(scope.state, *suspect, key)) {
+      keys.push_back(key);
+    }
+  }
+  for (const RequestKey key : keys) {
+    const auto found = scope.state.requests.find(key);
+    if (found == scope.state.requests.end()) {
+      continue;
+    }
+    Request& request = found->second;
+    if (request.runs > 0) {
+      RefuseRequest(scope, request, 502, "prompt_part_crashes_upstreams");
+    } else {
+      const quarantine::Suspect* suspect = FindSuspect(scope.state, request.head.prompt_parts);
+      RefuseRequest(scope, request, 503, "prompt_part_crashes_upstreams",
+                    std::max(kMinRetryAfter, ToMilliseconds(suspect->trial_at - scope.now)));
+    }
+  }
+}
+
+void AdoptSuspects(EventScope& scope, std::vector<quarantine::Suspect> suspects) {
+  QuarantineState& own = scope.state.quarantine;
+  const auto contains = [](const std::vector<quarantine::Suspect>& list, const auto& parts) {
+    return std::any_of(list.begin(), list.end(),
+                       [&parts](const auto& suspect) { return suspect.parts == parts; });
+  };
+  const std::vector<quarantine::Suspect> before = std::exchange(own.suspects, std::move(suspects));
+  bool has_changed = false;
+  bool is_wider = false;
+  for (const quarantine::Suspect& suspect : own.suspects) {
+    if (!contains(before, suspect.parts)) {
+      is_wider = true;
+      IncrementCounter(scope, kQuarantines, "begun");
+      Log(scope, log_events::kPartsQuarantined,
+          fmt::format("parts={:x} crashes={} entries={} trial_in_ms={}",
+                      fmt::join(suspect.parts, ","), suspect.crashes, own.log.entries.size(),
+                      ToMilliseconds(suspect.trial_at - scope.now).count()));
+    }
+  }
+  for (const quarantine::Suspect& suspect : before) {
+    if (!contains(own.suspects, suspect.parts)) {
+      has_changed = true;
+      own.trials.erase(suspect.parts.front());
+      IncrementCounter(scope, kQuarantines, "ended");
+      Log(scope, log_events::kPartsReleased,
+          fmt::format("parts={:x}", fmt::join(suspect.parts, ",")));
+    }
+  }
+  own.log.kept.clear();
+  for (const quarantine::Suspect& suspect : own.suspects) {
+    own.log.kept.insert(suspect.entries.begin(), suspect.entries.end());
+  }
+  if ((has_changed || is_wider) && IsFirstHost(scope.state, scope.now)) {
+    scope.effects.push_back(SaveCrashReport{MakeSavedCrashReport(scope.state, scope.now)});
+  }
+  if (is_wider) {
+    EndHeldRequests(scope);
+  }
+}
+
+}  // namespace
+
+void RecordLostAttempt(EventScope& scope,
+                       const Request& request,
+                       const Attempt& attempt,
+                       const AttemptEnded& event) {
+  // A prompt of one part has no part that it shares with others.
+  constexpr std::size_t kMinParts = 2;
+  if (event.result != AttemptResult::kBroken || !event.is_disconnected || attempt.is_resume ||
+      !attempt.is_reading_prompt || request.is_started ||
+      request.head.prompt_parts.size() < kMinParts) {
+    return;
+  }
+  const auto upstream = scope.state.upstreams.find(attempt.upstream);
+  std::int64_t start_time_ms = 0;
+  if (upstream != scope.state.upstreams.end()) {
+    if (upstream->second.phase == UpstreamPhase::kLeaving && !upstream->second.was_unlisted) {
+      return;  // It was about to end anyway.
+    }
+    start_time_ms = upstream->second.entry.start_time_ms;
+  }
+  QuarantineState& own = scope.state.quarantine;
+  const quarantine::EntryId id = Hash(fmt::format("{}/{}", request.head.id, attempt.upstream));
+  quarantine::CrashEntry entry;
+  entry.crash = Hash(attempt.upstream, static_cast<std::uint64_t>(start_time_ms));
+  entry.at = scope.now;
+  entry.parts = request.head.prompt_parts;
+  entry.answers_per_second = AnswersPerSecond(scope.state, scope.now);
+  if (quarantine::AddEntry(own.log, id, std::move(entry))) {
+    own.unconfirmed.push_back({id, attempt.upstream, scope.now});
+    ScheduleReview(scope, scope.now + kConfirmTime);
+  }
+}
+
+void RecordBegunAnswer(EventScope& scope, const Request& request) {
+  if (request.head.prompt_parts.empty()) {
+    return;
+  }
+  QuarantineState& own = scope.state.quarantine;
+  CountOutcome(own.answers, SendOutcome::kAnswered, scope.now);
+  if (quarantine::RecordAnswer(own.log, request.head.prompt_parts, scope.now, false)) {
+    ScheduleReview(scope, scope.now);
+  }
+}
+
+std::optional<std::chrono::milliseconds> HoldBack(EventScope& scope,
+                                                  const RequestHead& head,
+                                                  RequestKey key) {
+  State& state = scope.state;
+  const quarantine::Suspect* suspect = FindSuspect(state, head.prompt_parts);
+  if (suspect == nullptr) {
+    return std::nullopt;
+  }
+  const quarantine::PartId part = suspect->parts.front();
+  const auto trial = state.quarantine.trials.find(part);
+  const bool is_tried =
+      trial != state.quarantine.trials.end() && (state.requests.count(trial->second.request) > 0 ||
+                                                 scope.now - trial->second.at < kMinTrialInterval);
+  if (scope.now >= suspect->trial_at && !is_tried && IsFirstHost(state, scope.now)) {
+    state.quarantine.trials[part] = {key, scope.now};
+    Log(scope, log_events::kQuarantineTrial,
+        fmt::format("id={} parts={:x}", head.id, fmt::join(suspect->parts, ",")));
+    return std::nullopt;
+  }
+  return std::max(kMinRetryAfter, ToMilliseconds(suspect->trial_at - scope.now));
+}
+
+bool MayRetryPrompt(const State& state, const Request& request) {
+  return request.is_started || FindSuspect(state, request.head.prompt_parts) == nullptr;
+}
+
+void HandleCrashReport(EventScope& scope, const CrashReportReceived& event) {
+  QuarantineState& own = scope.state.quarantine;
+  bool has_news = false;
+  for (const ReportedCrash& crash : event.report.crashes) {
+    quarantine::CrashEntry entry;
+    entry.crash = crash.crash;
+    entry.at = scope.now - crash.age;
+    entry.parts = crash.parts;
+    entry.answers_per_second = crash.answers_per_second;
+    has_news = quarantine::AddEntry(own.log, crash.id, std::move(entry)) || has_news;
+  }
+  for (const ReportedAnswer& answer : event.report.answers) {
+    has_news =
+        quarantine::RecordAnswer(own.log, {answer.part}, scope.now - answer.age, true) || has_news;
+  }
+  if (has_news) {
+    ScheduleReview(scope, scope.now);
+  }
+  if (event.report.digest && *event.report.digest != quarantine::Digest(own.log)) {
+    CrashReport reply;
+    for (const auto& [id, entry] : own.log.entries) {
+      reply.crashes.push_back(MakeReportedCrash(id, entry, scope.now));
+    }
+    for (const auto& [part, answer] : own.log.answers) {
+      reply.answers.push_back({part, AgeOf(answer.at, scope.now)});
+    }
+    if (!event.report.is_reply) {
+      reply.digest = quarantine::Digest(own.log);
+      reply.is_reply = true;
+    }
+    SendReport(scope, event.host, std::move(reply));
+  }
+}
+
+void ReviewCrashes(EventScope& scope) {
+  QuarantineState& own = scope.state.quarantine;
+  ConfirmLostAttempts(scope);
+  ReportAnswers(scope);
+  SendRepeats(scope);
+  AdoptSuspects(scope, quarantine::FindSuspects(own.log, scope.now));
+  quarantine::RemoveOldEntries(own.log, scope.now - quarantine::kEntryTtl);
+  const bool has_recent =
+      std::any_of(own.log.entries.begin(), own.log.entries.end(), [&scope](const auto& entry) {
+        return scope.now - entry.second.at < quarantine::kHoldTime + kReviewInterval;
+      });
+  if (has_recent || !own.repeats.empty() || own.answers_due) {
+    ScheduleReview(scope, scope.now + kReviewInterval);
+  } else if (!own.log.entries.empty()) {
+    ScheduleReview(scope, scope.now + kIdleReviewInterval);
+  }
+}
+
+void SyncCrashLog(EventScope& scope) {
+  State& state = scope.state;
+  std::vector<std::string> live;
+  for (const auto& [host, peer] : state.peers) {
+    if (scope.now - peer.at < kPeerTtl) {
+      live.push_back(host);
+    }
+  }
+  QuarantineState& own = state.quarantine;
+  if (!live.empty()) {
+    CrashReport report;
+    report.digest = quarantine::Digest(own.log);
+    const std::uint64_t pick = Hash(state.options.host, own.sync_round++) % live.size();
+    SendReport(scope, live[pick], std::move(report));
+  }
+  Schedule(state.timers, {TimerKind::kEntryCrashSync, 0},
+           scope.now + (own.sync_round < kStartSyncRounds ? kStartSyncInterval : kSyncInterval));
+}
+
+}  // namespace internal
+
+CrashReport MakeSavedCrashReport(const State& state, TimePoint now) {
+  CrashReport report;
+  if (!internal::IsFirstHost(state, now)) {
+    return report;
+  }
+  for (const quarantine::EntryId id : state.quarantine.log.kept) {
+    const auto entry = state.quarantine.log.entries.find(id);
+    if (entry != state.quarantine.log.entries.end()) {
+      report.crashes.push_back(internal::MakeReportedCrash(id, entry->second, now));
+    }
+  }
+  return report;
+}
+
+}  // namespace snipeturn::entry
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/base/hash.h"
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/placement.h"
@@ -204,7 +205,8 @@
 }
 
 void SendHedge(EventScope& scope, Request& request) {
-  if (request.phase != RequestPhase::kSent || request.runs >= request.max_upstreams) {
+  if (request.phase != RequestPhase::kSent || request.runs >= request.max_upstreams ||
+      !MayRetryPrompt(scope.state, request)) {
     return;
   }
   for (const Attempt& attempt : request.attempts) {
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -134,6 +134,18 @@
   std::chrono::milliseconds age{0};
 };
 
+/// Tell other hosts about lost attempts.
+struct SendCrashReport {
+  /// Empty for all hosts.
+  std::string host;
+  CrashReport report;
+};
+
+/// Keep the lost attempts on which quarantines rest in the store, for hosts that start.
+struct SaveCrashReport {
+  CrashReport report;
+};
+
 /// Close the connection pool of an upstream, which is no longer needed.
 struct ForgetUpstream {
   UpstreamId id;
@@ -161,6 +173,8 @@
                             ForwardCellLoad,
                             RequestConfirmation,
                             SendConfirmation,
+                            SendCrashReport,
+                            SaveCrashReport,
                             ForgetUpstream,
                             EmitLog,
                             AddToCounter,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -255,6 +255,37 @@
   std::chrono::milliseconds age{0};
 };
 
+/// A lost attempt as one host tells another; see quarantine::CrashEntry.
+struct ReportedCrash {
+  quarantine::EntryId id{0};
+  quarantine::CrashId crash{0};
+  std::vector<quarantine::PartId> parts;
+  double answers_per_second{0};
+  std::chrono::milliseconds age{0};
+};
+
+/// An answer that began for a prompt with a part.
+struct ReportedAnswer {
+  quarantine::PartId part{0};
+  std::chrono::milliseconds age{0};
+};
+
+/// Parts of a host's crash log.
+struct CrashReport {
+  std::vector<ReportedCrash> crashes;
+  std::vector<ReportedAnswer> answers;
+  /// Digest of the sender's log; asks a host whose log differs for all of it.
+  std::optional<std::uint64_t> digest;
+  /// Answers a report with a digest.
+  bool is_reply{false};
+};
+
+struct CrashReportReceived {
+  /// Empty when the report was read from the store.
+  std::string host;
+  CrashReport report;
+};
+
 struct OptionsChanged {
   Bounds bounds;
 };
@@ -282,6 +313,7 @@
                            CellLoadReceived,
                            ConfirmationRequested,
                            ConfirmationReceived,
+                           CrashReportReceived,
                            OptionsChanged,
                            ShutdownRequested,
                            Tick>;
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -6,6 +6,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
@@ -132,6 +133,10 @@
     RefuseArrival(scope, event, 503, "stopping", RetryAfterShutdown(scope));
     return;
   }
+  if (const auto retry_after = HoldBack(scope, event.head, event.request)) {
+    RefuseArrival(scope, event, 503, "prompt_part_crashes_upstreams", retry_after);
+    return;
+  }
   CountRequest(state.retry_budgets[request.service], state.options.bounds, scope.now);
   Request& stored = state.requests.emplace(event.request, std::move(request)).first->second;
   Schedule(state.timers, {TimerKind::kEntryFinalAnswer, stored.key}, stored.deadline);
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -6,6 +6,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/lifecycle.h"
@@ -122,7 +123,7 @@
                               ? request.sends < max_attempts
                               : IsRepeatable(request) && request.runs < request.max_upstreams &&
                                     request.sends < kMaxAttempts;
-  if (!is_allowed) {
+  if (!is_allowed || !MayRetryPrompt(scope.state, request)) {
     return false;
   }
   // A response that can be relayed is not discarded for a place in the queue.
@@ -164,10 +165,15 @@
   }
   Request& request = scope.state.requests.at(key->second);
   const Attempt attempt = RemoveAttempt(scope, request, event.attempt);
+  RecordLostAttempt(scope, request, attempt, event);
   UpdateUpstreamHealth(scope, attempt, event);
   if (DidNotRun(event.result) && !attempt.is_resume) {
     request.runs -= 1;
   }
+  const bool is_answer = event.result == AttemptResult::kAnswered && event.relayable;
+  if (attempt.is_reading_prompt && (is_answer || event.result == AttemptResult::kStreamFinished)) {
+    RecordBegunAnswer(scope, request);
+  }
   if (event.result == AttemptResult::kStreamFinished) {
     CompleteStream(scope, request, event.attempt);
     return;
@@ -238,6 +244,9 @@
     upstream->second.failures = 0;
     upstream->second.last_response_at = scope.now;
   }
+  if (attempt->is_reading_prompt) {
+    RecordBegunAnswer(scope, request);
+  }
   request.phase = RequestPhase::kStreaming;
   request.is_started = true;
   scope.state.load_decreases += attempt->is_reading_prompt ? 1 : 0;
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 #include <variant>
 
+#include "snipeturn/base/timers.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
@@ -125,6 +126,9 @@
   if (is_for_cell && !event.is_forwarded) {
     scope.effects.push_back(ForwardLoad{event});
   }
+  if (!IsScheduled(state.timers, {TimerKind::kEntryCrashSync, 0})) {
+    Schedule(state.timers, {TimerKind::kEntryCrashSync, 0}, scope.now);
+  }
   RequestConfirmationIfOld(scope);
   DispatchQueue(scope);
 }
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -7,6 +7,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
+#include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/event_scope.h"
 #include "snipeturn/entry/lifecycle.h"
@@ -36,6 +37,14 @@
     ReadReports(scope);
     return;
   }
+  if (key.kind == TimerKind::kEntryCrashReview) {
+    ReviewCrashes(scope);
+    return;
+  }
+  if (key.kind == TimerKind::kEntryCrashSync) {
+    SyncCrashLog(scope);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckShutdown(scope);
     return;
@@ -107,6 +116,8 @@
           HandleConfirmationRequest(scope, item);
         } else if constexpr (std::is_same_v<Item, ConfirmationReceived>) {
           HandleConfirmation(scope, item);
+        } else if constexpr (std::is_same_v<Item, CrashReportReceived>) {
+          HandleCrashReport(scope, item);
         } else if constexpr (std::is_same_v<Item, UpstreamReported>) {
           HandleReport(scope, item);
         } else if constexpr (std::is_same_v<Item, ListConfirmed>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -6,14 +6,17 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/desired_state.h"
+#include "snipeturn/entry/event.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/request.h"
 #include "snipeturn/entry/retry_budget.h"
 #include "snipeturn/entry/upstream.h"
+#include "snipeturn/quarantine/suspects.h"
 
 namespace snipeturn::entry {
 
@@ -69,6 +72,37 @@
   Endpoint endpoint;
 };
 
+/// Prompt parts that crash upstreams, and what this host and its peers saw of them.
+struct QuarantineState {
+  quarantine::CrashLog log;
+  std::vector<quarantine::Suspect> suspects;
+  /// A lost attempt of this host that is not reported yet: its upstream may still prove alive.
+  struct Unconfirmed {
+    quarantine::EntryId entry{0};
+    UpstreamId upstream;
+    TimePoint at{};
+  };
+  std::deque<Unconfirmed> unconfirmed;
+  /// Reports that are sent once more.
+  struct Repeat {
+    TimePoint due{};
+    CrashReport report;
+  };
+  std::deque<Repeat> repeats;
+  /// When this host reports answers that clear parts, unless another host does so before.
+  std::optional<TimePoint> answers_due;
+  /// A request that was let through to try whether a suspect still crashes upstreams.
+  struct Trial {
+    RequestKey request{0};
+    TimePoint at{};
+  };
+  /// By the first part of the suspect.
+  std::map<quarantine::PartId, Trial> trials;
+  /// Answers that began at this host, weighted by age.
+  OutcomeCount answers;
+  std::uint64_t sync_round{0};
+};
+
 /// State of the entry path.
 struct State {
   Options options;
@@ -102,6 +136,7 @@
   std::map<RequestKey, Request> requests;
   std::map<AttemptKey, RequestKey> request_by_attempt;
   std::map<std::uint64_t, OrphanCopy> orphan_copies;
+  QuarantineState quarantine;
   /// By service.
   std::map<std::string, RetryBudget> retry_budgets;
   /// By route.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -191,6 +191,10 @@
       {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
       {"snipeturn_opened_connections", "", "", static_cast<double>(client_.opened_connections())},
       {"snipeturn_dropped_log_lines", "", "", static_cast<double>(log_.dropped_lines())},
+      {"snipeturn_quarantined_prompts", "", "",
+       static_cast<double>(state_.quarantine.suspects.size())},
+      {"snipeturn_crash_log_entries", "", "",
+       static_cast<double>(state_.quarantine.log.entries.size())},
       {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)},
       {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
       {"snipeturn_cells_heard", "", "",
@@ -306,6 +310,12 @@
           peer_socket_->Send(EncodeConfirmationRequest(options_.entry.host, item), item.host);
         } else if constexpr (std::is_same_v<Item, entry::SendConfirmation>) {
           peer_socket_->Send(EncodeConfirmationReply(options_.entry.host, item), item.host);
+        } else if constexpr (std::is_same_v<Item, entry::SendCrashReport>) {
+          SendCrashReport(item);
+        } else if constexpr (std::is_same_v<Item, entry::SaveCrashReport>) {
+          if (save_crash_report_) {
+            save_crash_report_(item.report);
+          }
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           ForgetUpstream(item.id);
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
@@ -381,6 +391,15 @@
   SendToAudience(EncodeCellLoad(options_.entry.host, sum), entry::Audience::kOwnCell);
 }
 
+void EntryRuntime::SendCrashReport(const entry::SendCrashReport& sent) {
+  const std::string datagram = EncodeCrashMessage(options_.entry.host, sent.report);
+  if (sent.host.empty()) {
+    SendToAudience(datagram, entry::Audience::kAll);
+  } else {
+    peer_socket_->Send(datagram, sent.host);
+  }
+}
+
 void EntryRuntime::CheckConnectionTimeouts(TimePoint now) {
   const ConnectionLimits limits = CurrentLimits();
   // A timeout can remove the connection from the table.
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -67,6 +67,11 @@
     request_configuration_read_ = std::move(configuration);
   }
 
+  /// @brief Sets the callback that keeps a crash report in the store.
+  void SetSaveCallback(std::function<void(const entry::CrashReport&)> save) {
+    save_crash_report_ = std::move(save);
+  }
+
   void Log(const EmitLog& entry);
 
   [[nodiscard]] HttpClient& client() noexcept { return client_; }
@@ -153,6 +158,7 @@
   void ForwardLoad(entry::PeerLoadReceived load);
   void ForwardCellLoad(entry::CellLoadReceived sum);
   void BroadcastLoad(TimePoint now);
+  void SendCrashReport(const entry::SendCrashReport& sent);
 
   boost::asio::io_context& context_;
   RuntimeOptions options_;
@@ -179,6 +185,7 @@
   entry::RequestKey next_request_{1};
   std::function<void()> request_list_read_;
   std::function<void()> request_configuration_read_;
+  std::function<void(const entry::CrashReport&)> save_crash_report_;
   entry::BroadcastState broadcast_;
 };
 
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -10,6 +10,8 @@
 #include <utility>
 #include <variant>
 
+#include "snipeturn/loop/crash_report_codec.h"
+
 namespace snipeturn::loop {
 namespace internal {
 namespace {
@@ -98,6 +100,8 @@
 constexpr char kAnsweredKey[] = "answered_us";
 /// Marks the sum of a cell.
 constexpr char kSumKey[] = "sum";
+/// Marks a crash report.
+constexpr char kCrashReportKey[] = "crash_report";
 
 TimePoint DecodeTime(const Json::Value& value) {
   return TimePoint(std::chrono::microseconds(value.asInt64()));
@@ -220,6 +224,14 @@
     message.content = std::move(*sum);
     return message;
   }
+  if (root.isMember(kCrashReportKey)) {
+    auto report = DecodeCrashReport(root[kCrashReportKey]);
+    if (!report) {
+      return std::nullopt;
+    }
+    message.content = entry::CrashReportReceived{message.host, std::move(*report)};
+    return message;
+  }
   auto load = DecodeLoad(root);
   if (!load) {
     return std::nullopt;
@@ -249,6 +261,13 @@
   return internal::WriteCompactJson(root);
 }
 
+std::string EncodeCrashMessage(std::string_view host, const entry::CrashReport& report) {
+  Json::Value root;
+  root["host"] = std::string(host);
+  root[internal::kCrashReportKey] = EncodeCrashReport(report);
+  return internal::WriteCompactJson(root);
+}
+
 std::string EncodeLoad(const entry::PeerLoadReceived& load) {
   Json::Value root;
   root["host"] = load.host;
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -35,6 +35,11 @@
 [[nodiscard]] std::string EncodeConfirmationReply(std::string_view host,
                                                   const entry::SendConfirmation& reply);
 
+/// @brief Encodes a crash report for other hosts.
+/// @param host Name of this host.
+[[nodiscard]] std::string EncodeCrashMessage(std::string_view host,
+                                             const entry::CrashReport& report);
+
 /// A message from another host.
 struct PeerMessage {
   /// The host that wrote the message.
@@ -42,7 +47,8 @@
   std::variant<entry::PeerLoadReceived,
                entry::CellLoadReceived,
                entry::ConfirmationRequested,
-               entry::ConfirmationReceived>
+               entry::ConfirmationReceived,
+               entry::CrashReportReceived>
       content;
   /// The message was forwarded by a host other than the one that wrote it.
   bool is_forwarded{false};
--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -264,6 +264,8 @@
       case TimerKind::kEntryUpstream:
       case TimerKind::kEntryReports:
       case TimerKind::kEntryShutdown:
+      case TimerKind::kEntryCrashReview:
+      case TimerKind::kEntryCrashSync:
         assert(false && "timer belongs to the reducer of the entry path");
         break;
     }
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -110,5 +110,23 @@
   CHECK_FALSE(ParseHost("x"));
 }
 
+// Guards against a quarantine that is lost when all hosts restart, and against a host that is
+// unknown because its record has a damaged crash report.
+TEST_CASE("hostRecord_crashReport_keptOrDropped", "[platform]") {
+  HostRecord record{{"10.0.0.1", 7200}, "zone-a", 9};
+  record.crash_report.crashes = {{1, 2, {3, 4}, 5, std::chrono::milliseconds(60)}};
+  record.written_at = WallTime(std::chrono::milliseconds(1700000000123));
+  const auto parsed = ParseHost(WriteHost(record));
+  REQUIRE(parsed);
+  REQUIRE(parsed->crash_report.crashes.size() == 1);
+  CHECK(parsed->crash_report.crashes[0].parts == record.crash_report.crashes[0].parts);
+  CHECK(parsed->crash_report.crashes[0].age == std::chrono::milliseconds(60));
+  CHECK(parsed->written_at == record.written_at);
+  const auto damaged = ParseHost(
+      R"({"peer":"10.0.0.1:7200","zone":"z","sequence":1,"crash_report":{"crashes":["x"]}})");
+  REQUIRE(damaged);
+  CHECK(damaged->crash_report.crashes.empty());
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
--- a/test/snipeturn/entry/crash_world.h
+++ b/test/snipeturn/entry/crash_world.h
@@ -153,6 +153,7 @@
   [[nodiscard]] int sound_begins() const noexcept { return begun_; }
   [[nodiscard]] int refusals() const noexcept { return static_cast<int>(refused_.size()); }
   [[nodiscard]] const std::vector<Refuse>& refused() const noexcept { return refused_; }
+  /// Sound requests that were held back.
   [[nodiscard]] int sound_refusals() const noexcept { return sound_refusals_; }
   [[nodiscard]] State& state(int host) { return hosts_[static_cast<std::size_t>(host)].state; }
   void ResetCounts() {
@@ -163,9 +164,13 @@
     deadly_sends_.clear();
   }
 
+  /// Delivers an event to a host.
+  void Deliver(int host, const Event& event) { Apply(host, event); }
+
   TimePoint now{std::chrono::seconds(1000)};
   /// Hosts whose messages to and from others are lost.
   std::set<int> isolated;
+  std::optional<CrashReport> saved_report;
   /// Whether requests with the deadly part crash engines.
   bool is_deadly{true};
 
@@ -247,14 +252,26 @@
         attempts_.erase(cancel->attempt);
       } else if (const auto* refuse = std::get_if<Refuse>(&effect)) {
         refused_.push_back(*refuse);
-        sound_refusals_ += IsDeadly(parts_.at({host, refuse->request})) ? 0 : 1;
+        const bool is_held_back = refuse->reason == "prompt_part_crashes_upstreams";
+        sound_refusals_ += is_held_back && !IsDeadly(parts_.at({host, refuse->request})) ? 1 : 0;
       } else {
-        Deliver(host, effect);
+        Exchange(host, effect);
       }
     }
   }
 
-  void Deliver(int /*from*/, const Effect& /*effect*/) {}
+  void Exchange(int from, const Effect& effect) {
+    if (const auto* sent = std::get_if<SendCrashReport>(&effect)) {
+      for (int host = 0; host < static_cast<int>(hosts_.size()); ++host) {
+        const bool is_meant = sent->host.empty() || sent->host == state(host).options.host;
+        if (is_meant && host != from && isolated.count(host) == 0 && isolated.count(from) == 0) {
+          Apply(host, CrashReportReceived{state(from).options.host, sent->report});
+        }
+      }
+    } else if (const auto* saved = std::get_if<SaveCrashReport>(&effect)) {
+      saved_report = saved->report;
+    }
+  }
 
   int engine_count_{0};
   std::vector<EntryFixture> hosts_;
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -194,5 +194,43 @@
   ::close(pipe_ends[1]);
 }
 
+// Guards against a quarantine that differs between hosts because a report was changed on its way.
+TEST_CASE("crashReport_roundTrip_preserved", "[loop]") {
+  using namespace std::chrono_literals;
+  entry::CrashReport report;
+  report.crashes = {{0xFFFFFFFFFFFFFFFFULL, 2, {3, 0xFEDCBA9876543210ULL}, 12.5, 340ms}};
+  report.answers = {{3, 20ms}};
+  report.digest = 77;
+  report.is_reply = true;
+  const auto message = DecodePeerMessage(EncodeCrashMessage("host-1", report));
+  REQUIRE(message);
+  CHECK(message->host == "host-1");
+  const auto* received = std::get_if<entry::CrashReportReceived>(&message->content);
+  REQUIRE(received != nullptr);
+  REQUIRE(received->report.crashes.size() == 1);
+  CHECK(received->report.crashes[0].id == report.crashes[0].id);
+  CHECK(received->report.crashes[0].crash == 2);
+  CHECK(received->report.crashes[0].parts == report.crashes[0].parts);
+  CHECK(received->report.crashes[0].answers_per_second == 12.5);
+  CHECK(received->report.crashes[0].age == 340ms);
+  REQUIRE(received->report.answers.size() == 1);
+  CHECK(received->report.answers[0].age == 20ms);
+  CHECK(received->report.digest == report.digest);
+  CHECK(received->report.is_reply);
+}
+
+// Guards against a report that quarantines prompts from a damaged datagram.
+TEST_CASE("crashReport_malformed_rejected", "[loop]") {
+  for (const char* text :
+       {R"({"host":"h","crash_report":7})", R"({"host":"h","crash_report":{"crashes":[[1]]}})",
+        R"({"host":"h","crash_report":{"crashes":[[1,2,-5,1.0,[3]]]}})",
+        R"({"host":"h","crash_report":{"crashes":[[1,2,5,-1.0,[3]]]}})",
+        R"({"host":"h","crash_report":{"crashes":[[1,2,5,1.0,[]]]}})",
+        R"({"host":"h","crash_report":{"crashes":[[1,2,5,1.0,["x"]]]}})",
+        R"({"host":"h","crash_report":{"answers":[[1,-1]]}})"}) {
+    CHECK_FALSE(DecodePeerMessage(text));
+  }
+}
+
 }  // namespace
 }  // namespace snipeturn::loop
