Take a stream that only its connection ends for complete

Callers of a streamed answer without a length got their connection reset at its end: such a stream was always taken for broken off, although the end of its connection is its end. Cause: a stream counted as complete only if its head named a length or chunks.

An orderly close after at least one event and outside an event completes it. A reset, a close inside an event or before the first one does not. An engine that stops a generation for a migration also closes in order, so the end of a stream in that step is not its end; it goes on at the target as before.

Tried and taken back: doubting such an end when the upstream lost another connection within 100 ms.

--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -72,6 +72,8 @@
   int status{0};
   /// The upstream closed or reset the connection before the end of its response.
   bool is_disconnected{false};
+  /// The upstream marked the end of the stream only by closing the connection in order.
+  bool ends_with_connection{false};
   /// The response comes from the upstream itself and may be passed on unchanged.
   bool relayable{false};
   std::string reason;
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -116,6 +116,13 @@
   return attempt;
 }
 
+/// Tells whether a stream without a length ended because its generation was stopped for a
+/// migration: the engine then closes the connection in order before the last event.
+bool IsStoppedForMigration(const Request& request, const AttemptEnded& event) noexcept {
+  return event.result == AttemptResult::kStreamFinished && event.ends_with_connection &&
+         request.migration && request.migration->step == MigrationStep::kStopping;
+}
+
 /// Retries a request if that is allowed. Returns true if it was sent or queued.
 bool RetryRequest(EventScope& scope, Request& request, AttemptResult result) {
   const int max_attempts = result == AttemptResult::kUnsent ? kMaxUnsentAttempts : kMaxAttempts;
@@ -158,13 +165,18 @@
   BreakRequest(scope, request, reason);
 }
 
-void HandleAttemptEnd(EventScope& scope, const AttemptEnded& event) {
-  const auto key = scope.state.request_by_attempt.find(event.attempt);
+void HandleAttemptEnd(EventScope& scope, const AttemptEnded& received) {
+  const auto key = scope.state.request_by_attempt.find(received.attempt);
   if (key == scope.state.request_by_attempt.end()) {
     return;
   }
   Request& request = scope.state.requests.at(key->second);
-  const Attempt attempt = RemoveAttempt(scope, request, event.attempt);
+  const Attempt attempt = RemoveAttempt(scope, request, received.attempt);
+  AttemptEnded event = received;
+  if (IsStoppedForMigration(request, event)) {
+    event.result = AttemptResult::kBroken;
+    event.reason = "stopped for migration";
+  }
   RecordLostAttempt(scope, request, attempt, event);
   UpdateUpstreamHealth(scope, attempt, event);
   if (DidNotRun(event.result) && !attempt.is_resume) {
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -151,6 +151,7 @@
     attempt.events += event->bytes;
     has_new_events = true;
   }
+  attempt.has_events = attempt.has_events || has_new_events;
   const bool has_missing_event = attempt.has_missing_event;
   const HttpClient::ExchangeKey exchange = attempt.exchange;
   if (has_new_events) {
@@ -193,13 +194,15 @@
       } else if (attempt.metadata.not_executed) {
         ended.result = entry::AttemptResult::kNotExecuted;
       } else if (attempt.is_event_stream) {
-        const bool is_complete =
-            !attempt.splitter.has_incomplete_event() && attempt.head.has_body_length;
+        // Without a length or chunks, the end of the connection is the end of the stream, unless it
+        // comes inside an event or before the first one.
+        ended.ends_with_connection = !attempt.head.has_body_length;
+        const bool is_complete = !attempt.splitter.has_incomplete_event() &&
+                                 (attempt.head.has_body_length || attempt.has_events);
         ended.result =
             is_complete ? entry::AttemptResult::kStreamFinished : entry::AttemptResult::kBroken;
         ended.reason = is_complete ? "" : "stream truncated";
-        // Without a length, the end of the connection is the end of the response.
-        ended.is_disconnected = !is_complete && !attempt.head.has_body_length;
+        ended.is_disconnected = !is_complete && ended.ends_with_connection;
       } else {
         ended.result = entry::AttemptResult::kAnswered;
         ended.relayable = !internal::IsNotExecutedStatus(ended.status) &&
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -106,6 +106,7 @@
     /// Complete events that are not yet relayed.
     std::string events;
     bool has_missing_event{false};
+    bool has_events{false};
   };
 
   enum class Listener : std::uint8_t { kFront, kReady, kMetrics };
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -144,6 +144,24 @@
   CHECK(EffectsOf<StartCopy>().empty());
 }
 
+// Guards against a stream that looks complete because its engine stopped it for a migration:
+// without a length the connection is closed in order.
+TEST_CASE_METHOD(MigrationFixture, "stream_withoutLengthStoppedForMigration_resumed", "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
+  const StartCopy last = EffectsOf<StartCopy>().at(0);
+  REQUIRE(last.final);
+  AttemptEnded ended;
+  ended.attempt = send.attempt;
+  ended.result = AttemptResult::kStreamFinished;
+  ended.status = 200;
+  ended.ends_with_connection = true;
+  Apply(ended);
+  CHECK(EffectsOf<FinishStream>().empty());
+  EndCopy(last, CopyStatus::kCopied, 5);
+  REQUIRE(EffectsOf<Send>().size() == 1);
+  CHECK(EffectsOf<Send>().at(0).upstream == "engine-2");
+}
+
 // Guards against a generation that exceeds its forecast and is never migrated, because it is
 // expected to end at any moment.
 TEST_CASE_METHOD(MigrationFixture, "stream_longerThanForecast_migrated", "[entry]") {
--- a/test/snipeturn/loop/entry_runtime_stop_test.cc
+++ b/test/snipeturn/loop/entry_runtime_stop_test.cc
@@ -1,98 +1,13 @@
-#include <fcntl.h>
-#include <unistd.h>
 #include <catch2/catch.hpp>
 
 #include <thread>
-#include <vector>
 
-#include "platform/entry_wire_codec.h"
-#include "snipeturn/loop/boot_clock.h"
-#include "snipeturn/loop/entry_runtime.h"
-#include "snipeturn/loop/loop_fixture.h"
+#include "snipeturn/loop/runtime_fixture.h"
 
 namespace snipeturn::loop {
 namespace {
 
-/// A runtime with one plain upstream, which is the fixture's listener, and a caller that keeps its
-/// connection open.
-class StopFixture : public LoopFixture {
- public:
-  StopFixture()
-      : log("host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        runtime(context, MakeOptions(), platform::EntryWireCodec(), log),
-        caller(context) {
-    REQUIRE_FALSE(runtime.Start());
-    entry::DesiredState desired;
-    desired.version = 1;
-    desired.services["plain"].name = "plain";
-    entry::Route route;
-    route.name = "book";
-    route.host = "svc.example";
-    route.path_prefix = "/book/";
-    route.kind = entry::RouteKind::kNonIdempotent;
-    route.services = {{"plain", 1}};
-    route.timeout = 20s;
-    route.latency_objective = 300ms;
-    desired.routes = {route};
-    runtime.Apply(entry::DesiredStateRead{desired});
-    runtime.Apply(entry::StoreConfirmed{BootTime()});
-    entry::UpstreamEntry upstream;
-    upstream.id = "plain-1";
-    upstream.service = "plain";
-    upstream.zone = "zone-a";
-    upstream.endpoint = endpoint();
-    upstream.slots = 6;
-    runtime.Apply(entry::UpstreamListed{upstream, 1});
-    acceptor.non_blocking(true);
-    caller.connect({boost::asio::ip::address_v4::loopback(), front});
-  }
-
-  static std::uint16_t FreePort() {
-    boost::asio::io_context own;
-    return tcp::acceptor(own, {boost::asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
-  }
-
-  RuntimeOptions MakeOptions() {
-    front = FreePort();
-    RuntimeOptions options;
-    options.entry.host = "host-1";
-    options.entry.zone = "zone-a";
-    options.entry.bounds.grace = 1500ms;
-    options.entry.bounds.fail_closed = false;
-    options.front = {"127.0.0.1", front};
-    options.ready = {"127.0.0.1", FreePort()};
-    options.peer = {"127.0.0.1", FreePort()};
-    return options;
-  }
-
-  static std::string RequestText(const std::string& id) {
-    return "POST /book/a HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: " + id +
-           "\r\nDeadline-Ms: 9000\r\nContent-Length: 4\r\n\r\nbody";
-  }
-
-  /// Returns whether the runtime has connected to the upstream.
-  bool IsUpstreamReached() {
-    boost::system::error_code error;
-    tcp::socket socket(context);
-    acceptor.accept(socket, error);
-    if (!error) {
-      upstream_sockets.push_back(std::move(socket));
-    }
-    return !upstream_sockets.empty();
-  }
-
-  /// Stops the runtime and runs the loop until the exit was decided.
-  void StopUntilExitIsDecided() {
-    runtime.Apply(entry::ShutdownRequested{});
-    REQUIRE(RunUntil([this] { return runtime.is_stopped(); }));
-  }
-
-  std::uint16_t front{0};
-  LogWriter log;
-  EntryRuntime runtime;
-  tcp::socket caller;
-  std::vector<tcp::socket> upstream_sockets;
-};
+using StopFixture = RuntimeFixture;
 
 // Guards against a request that is passed on after the process has decided to exit, and is cut off
 // without a response.
