Log the request limits that upstreams state in their responses

The header was read nowhere, so logs could not tell whether a host knew a limit when it exceeded it. It is decoded once in platform/, kept with the upstream, logged when it begins, changes, ends or is unreadable, and counted. No decision changes.

Tests: statedLimit_anySyntax_decodedOrUnreadable, response_statesLimit_reachesState.

--- /dev/null
+++ b/src/snipeturn/backpressure/fwd.h
@@ -0,0 +1,7 @@
+#pragma once
+
+namespace snipeturn::backpressure {
+
+struct Signals;
+
+}  // namespace snipeturn::backpressure
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -48,10 +48,15 @@
 inline constexpr LogEvent kPartsReleased{853, "parts_released", LogLevel::kInfo};
 inline constexpr LogEvent kQuarantineTrial{854, "quarantine_trial", LogLevel::kInfo};
 
+inline constexpr LogEvent kLimitStated{861, "upstream_limit_stated", LogLevel::kWarning};
+inline constexpr LogEvent kLimitEnded{862, "upstream_limit_ended", LogLevel::kInfo};
+inline constexpr LogEvent kSignalUnreadable{863, "upstream_signal_unreadable", LogLevel::kWarning};
+
 }  // namespace log_events
 
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
 inline constexpr CounterName kQuarantines{"snipeturn_quarantines_total", "change"};
+inline constexpr CounterName kUpstreamSignals{"snipeturn_upstream_signals_total", "signal"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/desired_state.h"
@@ -79,6 +80,12 @@
   std::string reason;
 };
 
+/// The head of a response has arrived.
+struct UpstreamSignalled {
+  AttemptKey attempt{0};
+  backpressure::Signals signals;
+};
+
 /// Events of a stream have arrived and are buffered in the event loop.
 struct StreamProgressed {
   AttemptKey attempt{0};
@@ -299,6 +306,7 @@
 using Event = std::variant<RequestArrived,
                            CallerDisconnected,
                            AttemptEnded,
+                           UpstreamSignalled,
                            StreamProgressed,
                            CopyEnded,
                            DesiredStateRead,
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -16,6 +16,7 @@
 #include "snipeturn/entry/peers.h"
 #include "snipeturn/entry/shutdown.h"
 #include "snipeturn/entry/store_updates.h"
+#include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -85,6 +86,8 @@
           HandleCallerDisconnect(scope, item);
         } else if constexpr (std::is_same_v<Item, AttemptEnded>) {
           HandleAttemptEnd(scope, item);
+        } else if constexpr (std::is_same_v<Item, UpstreamSignalled>) {
+          HandleSignals(scope, item);
         } else if constexpr (std::is_same_v<Item, StreamProgressed>) {
           HandleStreamProgress(scope, item);
         } else if constexpr (std::is_same_v<Item, CopyEnded>) {
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -80,6 +80,10 @@
   TimePoint failure_broadcast_at{};
   /// Moving mean of the time between two events of a stream, seconds; 0 before the first sample.
   double event_interval_s{0};
+  /// Requests a second that it last stated to take from all hosts together.
+  std::optional<double> stated_limit;
+  /// Its last response stated something that can't be parsed.
+  bool has_unreadable_signal{false};
   /// Starts within the last second while the upstream is cold.
   std::deque<TimePoint> cold_starts;
 };
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -99,6 +99,9 @@
   constexpr int kOk = 200;
   attempt.is_event_stream = attempt.is_stream && head.status == kOk && type != nullptr &&
                             type->rfind("text/event-stream", 0) == 0;
+  if (!attempt.metadata.wrong_upstream) {
+    Apply(entry::UpstreamSignalled{key, attempt.metadata.signals});
+  }
   return true;
 }
 
--- a/src/snipeturn/loop/wire_codec.h
+++ b/src/snipeturn/loop/wire_codec.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <string_view>
 
+#include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
@@ -27,6 +28,7 @@
   bool wrong_upstream{false};
   /// The response carries the upstream's receipt: it was written by the upstream itself.
   bool has_receipt{false};
+  backpressure::Signals signals;
 };
 
 /// Functions that encode and decode messages in the platform's formats; `platform/` supplies them.
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -164,6 +164,27 @@
   CHECK(codec.decode_response(response).has_receipt);
 }
 
+// Guards against a limit that is taken for another one, or for none, because of its syntax.
+TEST_CASE_METHOD(WireCodecFixture, "statedLimit_anySyntax_decodedOrUnreadable", "[platform]") {
+  HttpHead response;
+  response.status = 200;
+  CHECK_FALSE(codec.decode_response(response).signals.requests_per_second);
+  CHECK_FALSE(codec.decode_response(response).signals.has_unreadable_limit);
+  response.fields = {{"server-limit", ""}};
+  const auto signals_of = [&](const std::string& text) {
+    response.fields.back().value = text;
+    return codec.decode_response(response).signals;
+  };
+  CHECK(signals_of("2.5").requests_per_second == 2.5);
+  CHECK(signals_of("0").requests_per_second == 0.0);
+  CHECK(signals_of("40").requests_per_second == 40.0);
+  for (const char* text : {"", "x", "2.5x", "-1", "-0", "inf", "nan", "1e3", "2,5", "0x1"}) {
+    CAPTURE(text);
+    CHECK_FALSE(signals_of(text).requests_per_second);
+    CHECK(signals_of(text).has_unreadable_limit);
+  }
+}
+
 TEST_CASE_METHOD(WireCodecFixture, "copyResponse_status_mapped", "[platform]") {
   using entry::CopyStatus;
   const auto copied = codec.decode_copy_response(200, R"({"handle":"h-1","created_rev":12})");
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -26,6 +26,28 @@
   }
 };
 
+// Guards against a limit that an upstream states and nobody reads.
+TEST_CASE_METHOD(ResponseFixture, "response_statesLimit_reachesState", "[loop]") {
+  const auto limit = [this] { return runtime.state().upstreams.at("plain-1").stated_limit; };
+  const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n";
+  tcp::socket& upstream = Send("r1", "/book/a");
+  Write(upstream, head + "Server-Limit: 2.5\r\n\r\n");
+  static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
+  CHECK(limit() == 2.5);
+  SECTION("unreadable") {
+    tcp::socket& again = Send("r2", "/book/a");
+    Write(again, head + "Server-Limit: some\r\n\r\n");
+    static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
+    CHECK(limit() == 2.5);
+  }
+  SECTION("no longer stated") {
+    tcp::socket& again = Send("r2", "/book/a");
+    Write(again, head + "\r\n");
+    static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
+    CHECK_FALSE(limit());
+  }
+}
+
 // Guards against streams that are cut because their server marks the end by closing.
 TEST_CASE_METHOD(ResponseFixture, "stream_withoutLengthClosedInOrder_complete", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
