Keep the request limits that upstreams state, over all hosts together

An upstream in need got its usual share of requests although it had named a limit; its callers' requests failed. Class of fault: a statement of a peer that is not part of the state that decides, and a bound on a sum that no single host can keep alone.

Module backpressure: the newest statement of an upstream and this host's part of it, a token bucket of about one request. Hosts tell one another statements with their age in load tables and the sums of cells. At most 4 + 1.4 x limit hosts send, ranked for each upstream, so that all buckets together stay within the tolerance. Placement asks when an upstream may get the next request; retries, hedges and resumed generations are charged too. If every upstream with room is limited, requests wait for their turn if it comes in time, and are refused at once as not run otherwise. An end of the limit counts only from a response whose request was sent after the limit was stated; a limit that nobody repeats ends.

Ruled out: that each host keeps the whole limit (a single host exceeded it too).

--- a/src/snipeturn/backpressure/fwd.h
+++ b/src/snipeturn/backpressure/fwd.h
@@ -2,6 +2,7 @@
 
 namespace snipeturn::backpressure {
 
+struct RateLimit;
 struct Signals;
 
 }  // namespace snipeturn::backpressure
--- a/src/snipeturn/base/hash.cc
+++ b/src/snipeturn/base/hash.cc
@@ -32,4 +32,9 @@
   return ordered;
 }
 
+double UnitRendezvousWeight(std::string_view key, std::string_view candidate) noexcept {
+  constexpr double kHashRange = 18446744073709551616.0;  // 2^64
+  return static_cast<double>(RendezvousWeight(key, candidate)) / kHashRange;
+}
+
 }  // namespace snipeturn
--- a/src/snipeturn/base/hash.h
+++ b/src/snipeturn/base/hash.h
@@ -29,4 +29,8 @@
 [[nodiscard]] std::uint64_t RendezvousWeight(std::string_view key,
                                              std::string_view candidate) noexcept;
 
+/// @brief Rendezvous weight of a candidate, scaled to the range from 0 to 1.
+[[nodiscard]] double UnitRendezvousWeight(std::string_view key,
+                                          std::string_view candidate) noexcept;
+
 }  // namespace snipeturn
--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -33,6 +33,7 @@
   kEntryUpstream,
   kEntryReports,
   kEntryShutdown,
+  kEntryDispatch,
   kEntryCrashReview,
   kEntryCrashSync,
 };
--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -88,6 +89,7 @@
   for (auto& [id, outcome] : cell.outcomes) {
     outcome.count.at = scope.now;
   }
+  AdoptReportedLimits(scope, event.limits);
   if (!event.is_forwarded) {
     scope.effects.push_back(ForwardCellLoad{event});
   }
@@ -165,6 +167,7 @@
   sum.hosts = 1;
   sum.load = LocalLoad(state);
   internal::AddOutcomes(sum.outcomes, FailingUpstreams(state, now), now);
+  sum.limits = ReportedLimits(state, now, false);
   for (const auto& [host, peer] : state.peers) {
     if (peer.cell == state.cell && now - peer.at <= internal::kCellSumTtl) {
       sum.hosts += 1;
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -9,6 +9,7 @@
 
 #include "snipeturn/base/hash.h"
 #include "snipeturn/base/timers.h"
+#include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/lifecycle.h"
@@ -30,6 +31,8 @@
 constexpr std::chrono::milliseconds kRetryAfterPerQueuedRequest{60};
 /// Retry-After when the service has no serving upstream: about the time to replace one.
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter{1000};
+/// Shortest Retry-After when the upstreams want no request now.
+constexpr std::chrono::milliseconds kMinDeferral{100};
 /// Callers honour a Retry-After of up to a third of their remaining time.
 constexpr int kRetryAfterDivisor = 3;
 /// Half-life of the tokens served to an organisation, which order the queue.
@@ -39,6 +42,40 @@
   return ToMilliseconds(request.deadline - scope.now);
 }
 
+std::string_view ReasonOf(PlacementResult result) noexcept {
+  switch (result) {
+    case PlacementResult::kPlaced:
+      return "";
+    case PlacementResult::kNoRoom:
+      return "no_room";
+    case PlacementResult::kDeferred:
+      return "upstreams_deferred";
+    case PlacementResult::kNoUpstream:
+      return "no_upstream";
+  }
+  return "";
+}
+
+/// Part of a delay, from 0 to a half, that spreads the retries of requests that are refused
+/// together.
+std::chrono::milliseconds RetrySpread(const Request& request, std::chrono::milliseconds delay) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(Hash(request.head.id) % 512) *
+                                   delay.count() / 1024);
+}
+
+/// Retry-After of a request whose upstreams want no request before a later time.
+std::chrono::milliseconds RetryAfterDeferral(const EventScope& scope,
+                                             const Request& request,
+                                             TimePoint available_from) {
+  // Another host may have a part of the limit left, so an unknown time isn't a long one.
+  const auto wanted = available_from == TimePoint::max()
+                          ? kNoUpstreamRetryAfter
+                          : std::max(kMinDeferral, ToMilliseconds(available_from - scope.now));
+  const auto latest =
+      std::min(wanted + wanted / 2, RemainingTime(scope, request) / kRetryAfterDivisor);
+  return std::max(std::chrono::milliseconds{0}, latest - RetrySpread(request, latest * 2 / 3));
+}
+
 std::chrono::milliseconds RetryAfter(const EventScope& scope,
                                      const Request& request,
                                      PlacementResult result) {
@@ -49,11 +86,9 @@
   const auto wanted = result == PlacementResult::kNoUpstream
                           ? kNoUpstreamRetryAfter
                           : kRetryAfterBase + kRetryAfterPerQueuedRequest * queued;
-  // Spreads the retries of requests that are refused together over half of the delay.
-  const auto spread = std::chrono::milliseconds(
-      static_cast<std::int64_t>(Hash(request.head.id) % 512) * wanted.count() / 1024);
   return std::max(std::chrono::milliseconds{0},
-                  std::min(wanted + spread, RemainingTime(scope, request) / kRetryAfterDivisor));
+                  std::min(wanted + RetrySpread(request, wanted),
+                           RemainingTime(scope, request) / kRetryAfterDivisor));
 }
 
 std::chrono::milliseconds MaxQueueWait(const EventScope& scope, const Request& request) {
@@ -74,11 +109,46 @@
   }
 }
 
+/// Dispatches the queue at the time from which an upstream wants another request.
+void ScheduleDispatch(EventScope& scope, TimePoint due) {
+  const TimerKey key{TimerKind::kEntryDispatch, 0};
+  const auto pending = scope.state.timers.due_by_key.find(key);
+  if (due != TimePoint::max() &&
+      (pending == scope.state.timers.due_by_key.end() || due < pending->second)) {
+    Schedule(scope.state.timers, key, due);
+  }
+}
+
+/// Forecasts when a request could be sent while the upstreams of its service want no request before
+/// `available_from`, by the rate at which they take those of this host.
+TimePoint ForecastDispatch(const EventScope& scope,
+                           const Request& request,
+                           TimePoint available_from) {
+  double rate = 0;
+  for (const auto& [id, upstream] : scope.state.upstreams) {
+    if (upstream.entry.service == request.service && IsServing(scope.state, upstream)) {
+      rate += PermittedRate(scope.state, upstream, scope.now).value_or(0);
+    }
+  }
+  if (rate <= 0 || available_from == TimePoint::max()) {
+    return available_from;
+  }
+  const auto ahead = std::count_if(
+      scope.state.requests.begin(), scope.state.requests.end(), [&request](const auto& entry) {
+        const Request& other = entry.second;
+        return other.phase == RequestPhase::kQueued && other.service == request.service &&
+               other.priority <= request.priority && other.key != request.key;
+      });
+  const std::chrono::duration<double> wait(static_cast<double>(ahead) / rate);
+  return available_from + std::chrono::duration_cast<std::chrono::microseconds>(wait);
+}
+
 /// Sends a queued request if an upstream has room.
-PlacementResult TryDispatch(EventScope& scope, Request& request) {
+Placement TryDispatch(EventScope& scope, Request& request) {
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
   if (placement.result != PlacementResult::kPlaced) {
-    return placement.result;
+    ScheduleDispatch(scope, placement.available_from);
+    return placement;
   }
   Upstream& upstream = scope.state.upstreams.at(placement.upstream);
   RecordColdStart(upstream, scope.now);
@@ -97,7 +167,7 @@
           request.head.prompt_tokens, request.expected_output_tokens,
           scope.state.desired->version));
   StartAttempt(scope, request, upstream, std::nullopt);
-  return PlacementResult::kPlaced;
+  return placement;
 }
 
 }  // namespace
@@ -139,17 +209,26 @@
                      static_cast<double>(request.latency_objective.count()) * kHedgeDelayShare)));
   }
   state.load_changes += request.kind == RouteKind::kStream ? 1 : 0;
+  RecordRequest(state, upstream, scope.now);
   scope.effects.push_back(std::move(send));
 }
 
 void DispatchOrEnqueue(EventScope& scope, Request& request) {
-  const PlacementResult result = TryDispatch(scope, request);
-  if (result == PlacementResult::kPlaced) {
+  const Placement placement = TryDispatch(scope, request);
+  if (placement.result == PlacementResult::kPlaced) {
     return;
   }
   request.phase = RequestPhase::kQueued;
-  request.last_reason = result == PlacementResult::kNoRoom ? "no_room" : "no_upstream";
+  request.last_reason = ReasonOf(placement.result);
   const auto max_wait = MaxQueueWait(scope, request);
+  if (placement.result == PlacementResult::kDeferred && !request.is_started && request.runs == 0) {
+    const TimePoint forecast = ForecastDispatch(scope, request, placement.available_from);
+    if (forecast > request.arrived + max_wait) {
+      RefuseRequest(scope, request, 503, request.last_reason,
+                    RetryAfterDeferral(scope, request, forecast));
+      return;
+    }
+  }
   Log(scope, log_events::kQueued,
       fmt::format("id={} route={} reason={} hold_ms={} prompt={} forecast={}", request.head.id,
                   request.route, request.last_reason, max_wait.count(), request.head.prompt_tokens,
@@ -158,6 +237,15 @@
   Schedule(scope.state.timers, {TimerKind::kEntryHold, request.key}, wait_start + max_wait);
 }
 
+void DispatchDueQueue(EventScope& scope) {
+  const TimerKey key{TimerKind::kEntryDispatch, 0};
+  const auto pending = scope.state.timers.due_by_key.find(key);
+  if (pending != scope.state.timers.due_by_key.end() && pending->second <= scope.now) {
+    Cancel(scope.state.timers, key);
+    DispatchQueue(scope);
+  }
+}
+
 void DispatchQueue(EventScope& scope) {
   if (scope.state.is_exiting) {
     return;
@@ -188,11 +276,11 @@
 }
 
 void ExpireQueueWait(EventScope& scope, Request& request) {
-  const PlacementResult result = TryDispatch(scope, request);
-  if (result == PlacementResult::kPlaced) {
+  const Placement placement = TryDispatch(scope, request);
+  if (placement.result == PlacementResult::kPlaced) {
     return;
   }
-  const auto reason = result == PlacementResult::kNoRoom ? "no_room" : "no_upstream";
+  const std::string_view reason = ReasonOf(placement.result);
   if (request.is_started) {
     BreakRequest(scope, request, reason);
     return;
@@ -201,7 +289,10 @@
     RefuseRequest(scope, request, 502, reason);  // An earlier attempt may have run.
     return;
   }
-  RefuseRequest(scope, request, 503, reason, RetryAfter(scope, request, result));
+  RefuseRequest(scope, request, 503, reason,
+                placement.result == PlacementResult::kDeferred
+                    ? RetryAfterDeferral(scope, request, placement.available_from)
+                    : RetryAfter(scope, request, placement.result));
 }
 
 void SendHedge(EventScope& scope, Request& request) {
--- a/src/snipeturn/entry/dispatch.h
+++ b/src/snipeturn/entry/dispatch.h
@@ -11,6 +11,10 @@
 ///     recently served to the organisation, then arrival.
 void DispatchQueue(EventScope& scope);
 
+/// @brief Sends queued requests if an upstream has come to want another one. Called before a new
+///     request is placed, which must not overtake them.
+void DispatchDueQueue(EventScope& scope);
+
 /// @brief Handles the end of the maximum queue wait of a request: sends it if there is room now,
 ///     else refuses it, or breaks its stream if events have already been relayed.
 void ExpireQueueWait(EventScope& scope, Request& request);
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -207,6 +207,15 @@
   std::variant<UpstreamListed, UpstreamUnlisted> notice;
 };
 
+/// The last statement of an upstream about the requests a second that it takes, as one host tells
+/// another.
+struct ReportedLimit {
+  UpstreamId id;
+  /// Empty if the upstream no longer states a limit.
+  std::optional<double> requests_per_second;
+  std::chrono::milliseconds age{0};
+};
+
 struct PeerLoadReceived {
   std::string host;
   std::string zone;
@@ -230,6 +239,8 @@
   std::vector<UpstreamId> unreachable_upstreams;
   /// Upstreams at which its sends failed recently.
   OutcomeTable outcomes;
+  /// Statements that the host had from the upstreams themselves.
+  std::vector<ReportedLimit> limits;
   /// Time of the broadcast by the sender's clock; orders its tables.
   TimePoint broadcast_at{};
   /// Forwarded by a host of this cell, which received the table from another cell.
@@ -243,6 +254,8 @@
   int hosts{0};
   LoadTable load;
   CellOutcomes outcomes;
+  /// Newest statements that the hosts of the cell know.
+  std::vector<ReportedLimit> limits;
   /// Forwarded by a host of this cell, which received the sum from the other cell.
   bool is_forwarded{false};
 };
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -137,6 +137,7 @@
     RefuseArrival(scope, event, 503, "prompt_part_crashes_upstreams", retry_after);
     return;
   }
+  DispatchDueQueue(scope);
   CountRequest(state.retry_budgets[request.service], state.options.bounds, scope.now);
   Request& stored = state.requests.emplace(event.request, std::move(request)).first->second;
   Schedule(state.timers, {TimerKind::kEntryFinalAnswer, stored.key}, stored.deadline);
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -4,6 +4,7 @@
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -55,6 +56,7 @@
   table.load = LocalLoad(state);
   table.unreachable_upstreams = UnreachableUpstreams(state, now);
   table.outcomes = FailingUpstreams(state, now);
+  table.limits = ReportedLimits(state, now, true);
   return table;
 }
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -136,7 +136,8 @@
   // A response that can be relayed is not discarded for a place in the queue.
   const bool may_wait = DidNotRun(result) || request.is_started;
   const PlacementResult place = PlaceRequest(scope.state, request, scope.now).result;
-  if (place == PlacementResult::kNoUpstream || (place == PlacementResult::kNoRoom && !may_wait)) {
+  const bool must_wait = place == PlacementResult::kNoRoom || place == PlacementResult::kDeferred;
+  if (place == PlacementResult::kNoUpstream || (must_wait && !may_wait)) {
     return false;
   }
   // A failed connection put no load on the service, so it isn't charged to the retry budget.
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/store_updates.h"
+#include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -103,6 +104,7 @@
   for (auto& [id, count] : peer.outcomes) {
     count.at = scope.now;
   }
+  AdoptReportedLimits(scope, event.limits);
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -5,6 +5,7 @@
 #include <limits>
 
 #include "snipeturn/base/hash.h"
+#include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
@@ -52,7 +53,6 @@
 constexpr double kJitter = 0.04;
 constexpr double kJitterPerHost = 0.0015;
 constexpr double kMaxJitter = 0.2;
-constexpr double kHashRange = 18446744073709551616.0;  // 2^64
 
 /// Random part for migration targets. Hosts learn of a termination notice at the same moment, and a
 /// target's link receives copies one after another, so the copies are spread over targets.
@@ -64,12 +64,8 @@
 
 /// Window of the limit on requests to a cold upstream.
 constexpr std::chrono::seconds kColdWindow{1};
-/// A host without a load broadcast for this long is considered down.
-constexpr std::chrono::seconds kHostTtl{4};
-
-double UnitHash(std::string_view key, std::string_view candidate) noexcept {
-  return static_cast<double>(RendezvousWeight(key, candidate)) / kHashRange;
-}
+/// Penalty for a migration to an upstream that wants no further request now.
+constexpr double kUnavailablePenalty = 10.0;
 
 struct UpstreamScore {
   double score{0};
@@ -156,6 +152,7 @@
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
   const double zone_penalty = HasCells(state) ? kCrossZonePenaltyWithCells : kCrossZonePenalty;
   Placement best;
+  bool is_any_full = false;
   double best_score = std::numeric_limits<double>::max();
   for (const auto& [id, upstream] : state.upstreams) {
     if (upstream.entry.service != request.service || !IsServing(state, upstream) ||
@@ -173,18 +170,27 @@
       best.result = PlacementResult::kNoRoom;
     }
     if (!scored.has_room || IsColdLimitReached(state, upstream, now)) {
+      is_any_full = true;
+      continue;
+    }
+    const TimePoint available_from = AvailableFrom(state, upstream, now);
+    if (available_from > now && source == nullptr) {
+      best.available_from = std::min(best.available_from, available_from);
       continue;
     }
     const double jitter = source != nullptr
                               ? kMigrationJitter
                               : std::min(kMaxJitter, kJitter + kJitterPerHost * CellHosts(state));
-    double score = scored.score + jitter * UnitHash(request.head.id, id);
+    double score = scored.score + jitter * UnitRendezvousWeight(request.head.id, id);
     if (upstream.entry.zone != home_zone) {
       score += source != nullptr ? kMigrationCrossZonePenalty : zone_penalty;
     }
     if (!IsZoneLoadKnown(state, upstream.entry.zone, now)) {
       score += kUnknownLoadPenalty;
     }
+    if (available_from > now) {
+      score += kUnavailablePenalty;
+    }
     if (now < upstream.avoid_until) {
       score += kBackoffPenalty;
     }
@@ -193,13 +199,16 @@
     }
     score += FailurePenalty(FailureRateOf(failures, id) - mean_failure_rate);
     if (source == nullptr && !request.head.shared_prefix.empty()) {
-      score -= kAffinityBonus * UnitHash(request.head.shared_prefix, id);
+      score -= kAffinityBonus * UnitRendezvousWeight(request.head.shared_prefix, id);
     }
     if (score < best_score) {
       best_score = score;
-      best = {PlacementResult::kPlaced, id, scored.utilisation, FailureRateOf(failures, id)};
+      best = {PlacementResult::kPlaced, id, scored.utilisation, FailureRateOf(failures, id), now};
     }
   }
+  if (best.result == PlacementResult::kNoRoom && !is_any_full) {
+    best.result = PlacementResult::kDeferred;
+  }
   return best;
 }
 
@@ -211,18 +220,6 @@
   return static_cast<double>(recent) >= max_starts;
 }
 
-/// Counts the live hosts (of this host's cell, if there are cells) that rank before this host for
-/// an upstream by rendezvous hashing.
-int CountHostsRankedBefore(const State& state, const UpstreamId& upstream, TimePoint now) {
-  const std::uint64_t own = RendezvousWeight(upstream, state.options.host);
-  return static_cast<int>(
-      std::count_if(state.peers.begin(), state.peers.end(), [&](const auto& entry) {
-        const bool is_in_own_cell = !HasCells(state) || entry.second.cell == state.cell;
-        return is_in_own_cell && now - entry.second.at < kHostTtl &&
-               RendezvousWeight(upstream, entry.first) > own;
-      }));
-}
-
 }  // namespace
 }  // namespace internal
 
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -10,6 +10,8 @@
   kPlaced,
   /// There are serving upstreams, but none has room now.
   kNoRoom,
+  /// Every upstream that has room wants no request before a later time.
+  kDeferred,
   /// The service has no serving upstream.
   kNoUpstream,
 };
@@ -21,6 +23,8 @@
   double utilisation{0};
   /// Share of recent attempts at the upstream that failed, over all hosts.
   double failure_rate{0};
+  /// Earliest time at which an upstream that has room wants a request.
+  TimePoint available_from{TimePoint::max()};
 };
 
 /// @brief Returns whether an upstream may be down although it is still listed.
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -46,6 +46,10 @@
     SyncCrashLog(scope);
     return;
   }
+  if (key.kind == TimerKind::kEntryDispatch) {
+    DispatchQueue(scope);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckShutdown(scope);
     return;
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -37,13 +38,6 @@
 /// They are dropped when the table of offsets exceeds this size.
 constexpr std::size_t kMaxOffsets = 4096;
 
-void ScheduleReview(EventScope& scope) {
-  const TimerKey key{TimerKind::kEntryUpstream, 0};
-  if (!IsScheduled(scope.state.timers, key)) {
-    Schedule(scope.state.timers, key, scope.now + kReviewInterval);
-  }
-}
-
 bool IsStoreOutage(const EventScope& scope) {
   const StoreView& store = scope.state.store;
   return store.failed && scope.now - *store.failed < kOutageWindow;
@@ -99,7 +93,7 @@
       fmt::format("upstream={} service={} reason={}", upstream.entry.id, upstream.entry.service,
                   reason));
   ScheduleMigrationsFrom(scope, upstream);
-  ScheduleReview(scope);
+  ScheduleUpstreamReview(scope);
 }
 
 std::set<UpstreamId> UpstreamsInUse(const State& state) {
@@ -118,6 +112,13 @@
 
 }  // namespace
 
+void ScheduleUpstreamReview(EventScope& scope) {
+  const TimerKey key{TimerKind::kEntryUpstream, 0};
+  if (!IsScheduled(scope.state.timers, key)) {
+    Schedule(scope.state.timers, key, scope.now + kReviewInterval);
+  }
+}
+
 void AdoptDesiredState(EventScope& scope, const DesiredStateRead& event) {
   State& state = scope.state;
   if (state.desired && event.desired.version <= state.desired->version) {
@@ -231,7 +232,7 @@
     upstream.phase_since = scope.now;
     Log(scope, log_events::kUpstreamLapsed,
         fmt::format("upstream={} service={}", event.id, upstream.entry.service));
-    ScheduleReview(scope);
+    ScheduleUpstreamReview(scope);
   }
 }
 
@@ -294,6 +295,8 @@
   std::vector<UpstreamId> removed;
   bool is_pending = false;
   for (auto& [id, upstream] : state.upstreams) {
+    EndExpiredLimit(scope, upstream);
+    is_pending = is_pending || upstream.rate_limit.requests_per_second;
     if (upstream.phase == UpstreamPhase::kMissing) {
       // The list can't be read while the store is unreachable; the grace period starts when it is
       // back.
@@ -317,7 +320,7 @@
     Log(scope, log_events::kUpstreamGone, fmt::format("upstream={}", id));
   }
   if (is_pending) {
-    ScheduleReview(scope);
+    ScheduleUpstreamReview(scope);
   }
 }
 
--- a/src/snipeturn/entry/store_updates.h
+++ b/src/snipeturn/entry/store_updates.h
@@ -20,6 +20,9 @@
 /// @brief Handles a complete read of the list; upstreams that are missing from it were removed.
 void AdoptUpstreamList(EventScope& scope, const UpstreamListRead& event);
 
+/// @brief Makes the next review of the upstreams due.
+void ScheduleUpstreamReview(EventScope& scope);
+
 /// @brief Handles an upstream's own report.
 void HandleReport(EventScope& scope, const UpstreamReported& event);
 
@@ -28,8 +31,8 @@
 ///     leaves.
 void ReadReports(EventScope& scope);
 
-/// @brief Makes upstreams leave whose entry did not reappear in time, and removes those that have
-///     left and have no work.
+/// @brief Makes upstreams leave whose entry did not reappear in time, removes those that have left
+///     and have no work, and ends limits that upstreams have not repeated.
 void ReviewUpstreams(EventScope& scope);
 
 void ConfirmStore(EventScope& scope, const StoreConfirmed& event);
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "snipeturn/backpressure/rate_limit.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/fwd.h"
@@ -80,8 +81,7 @@
   TimePoint failure_broadcast_at{};
   /// Moving mean of the time between two events of a stream, seconds; 0 before the first sample.
   double event_interval_s{0};
-  /// Requests a second that it last stated to take from all hosts together.
-  std::optional<double> stated_limit;
+  backpressure::RateLimit rate_limit;
   /// Its last response stated something that can't be parsed.
   bool has_unreadable_signal{false};
   /// Starts within the last second while the upstream is cold.
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -131,6 +131,42 @@
   return table;
 }
 
+/// Value of a row's limit that says that the upstream no longer states one.
+constexpr double kNoLimit = -1;
+
+Json::Value EncodeLimits(const std::vector<entry::ReportedLimit>& limits) {
+  Json::Value rows(Json::arrayValue);
+  for (const entry::ReportedLimit& limit : limits) {
+    Json::Value row(Json::arrayValue);
+    row.append(limit.id);
+    row.append(limit.requests_per_second.value_or(kNoLimit));
+    row.append(Json::Int64{limit.age.count()});
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+std::optional<std::vector<entry::ReportedLimit>> DecodeLimits(const Json::Value& rows) {
+  constexpr Json::ArrayIndex kLimitRowLength = 3;
+  std::vector<entry::ReportedLimit> limits;
+  for (const Json::Value& row : rows) {
+    if (!row.isArray() || row.size() != kLimitRowLength || !row[0].isString()) {
+      return std::nullopt;
+    }
+    entry::ReportedLimit limit;
+    limit.id = row[0].asString();
+    limit.age = std::chrono::milliseconds(row[2].asInt64());
+    if (row[1].asDouble() >= 0) {
+      limit.requests_per_second = row[1].asDouble();
+    }
+    if (limit.age < std::chrono::milliseconds{0}) {
+      return std::nullopt;  // A statement from the future could not be replaced.
+    }
+    limits.push_back(std::move(limit));
+  }
+  return limits;
+}
+
 std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
   if (!root["load"].isArray()) {
     return std::nullopt;
@@ -169,10 +205,12 @@
     count.responses = row[2].asDouble();
   }
   auto load = DecodeLoadTable(root["load"]);
-  if (!load) {
+  auto limits = DecodeLimits(root["limits"]);
+  if (!load || !limits) {
     return std::nullopt;
   }
   received.load = std::move(*load);
+  received.limits = std::move(*limits);
   return received;
 }
 
@@ -183,10 +221,12 @@
   sum.hosts = root["hosts"].asInt();
   sum.is_forwarded = root["forwarded"].asBool();
   auto load = DecodeLoadTable(root[kSumKey]);
-  if (!load || sum.cell.empty() || sum.hosts < 1) {
+  auto limits = DecodeLimits(root["limits"]);
+  if (!load || !limits || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
   }
   sum.load = std::move(*load);
+  sum.limits = std::move(*limits);
   constexpr Json::ArrayIndex kCellOutcomeRowLength = 4;
   for (const Json::Value& row : root["outcomes"]) {
     if (!row.isArray() || row.size() != kCellOutcomeRowLength || !row[0].isString()) {
@@ -303,6 +343,9 @@
     root["outcomes"].append(std::move(row));
   }
   root["load"] = internal::EncodeLoadTable(load.load);
+  if (!load.limits.empty()) {
+    root["limits"] = internal::EncodeLimits(load.limits);
+  }
   return internal::WriteCompactJson(root);
 }
 
@@ -314,6 +357,9 @@
   root["hosts"] = sum.hosts;
   root["forwarded"] = sum.is_forwarded;
   root[internal::kSumKey] = internal::EncodeLoadTable(sum.load);
+  if (!sum.limits.empty()) {
+    root["limits"] = internal::EncodeLimits(sum.limits);
+  }
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -264,6 +264,7 @@
       case TimerKind::kEntryUpstream:
       case TimerKind::kEntryReports:
       case TimerKind::kEntryShutdown:
+      case TimerKind::kEntryDispatch:
       case TimerKind::kEntryCrashReview:
       case TimerKind::kEntryCrashSync:
         assert(false && "timer belongs to the reducer of the entry path");
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -28,7 +28,9 @@
 
 // Guards against a limit that an upstream states and nobody reads.
 TEST_CASE_METHOD(ResponseFixture, "response_statesLimit_reachesState", "[loop]") {
-  const auto limit = [this] { return runtime.state().upstreams.at("plain-1").stated_limit; };
+  const auto limit = [this] {
+    return runtime.state().upstreams.at("plain-1").rate_limit.requests_per_second;
+  };
   const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n";
   tcp::socket& upstream = Send("r1", "/book/a");
   Write(upstream, head + "Server-Limit: 2.5\r\n\r\n");
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -147,6 +147,41 @@
   }
 }
 
+TEST_CASE("statedLimits_roundTrip_preserved", "[loop]") {
+  const std::vector<entry::ReportedLimit> limits{{"plain-1", 2.5, std::chrono::milliseconds(40)},
+                                                 {"plain-2", std::nullopt, {}},
+                                                 {"plain-3", 0.0, {}}};
+  entry::PeerLoadReceived load;
+  load.limits = limits;
+  entry::CellLoadReceived sum;
+  sum.cell = "zone-a";
+  sum.hosts = 3;
+  sum.limits = limits;
+  const auto loads = DecodePeerMessage(EncodeLoad(load));
+  const auto sums = DecodePeerMessage(EncodeCellLoad("host-1", sum));
+  REQUIRE(loads);
+  REQUIRE(sums);
+  for (const auto& decoded : {std::get<entry::PeerLoadReceived>(loads->content).limits,
+                              std::get<entry::CellLoadReceived>(sums->content).limits}) {
+    REQUIRE(decoded.size() == 3);
+    CHECK(decoded[0].id == "plain-1");
+    CHECK(decoded[0].requests_per_second == 2.5);
+    CHECK(decoded[0].age == std::chrono::milliseconds(40));
+    CHECK_FALSE(decoded[1].requests_per_second);
+    CHECK(decoded[2].requests_per_second == 0.0);
+  }
+}
+
+// Guards against a row that dates a statement in the future, which nothing could replace.
+TEST_CASE("statedLimits_malformed_rejected", "[loop]") {
+  for (const char* rows : {R"([["plain-1",2.5]])", R"([["plain-1",2.5,-1]])", R"([[7,2.5,0]])",
+                           R"(["plain-1"])", R"([["plain-1","x",0]])"}) {
+    CAPTURE(rows);
+    CHECK_FALSE(
+        DecodePeerMessage(std::string(R"({"host":"host-1","load":[],"limits":)") + rows + "}"));
+  }
+}
+
 TEST_CASE("confirmations_roundTrip_preserved", "[loop]") {
   const TimePoint requested_at{std::chrono::microseconds(123456789012)};
   const auto request_message =
