Don't take a late copy of a refusal for the response to another request

Copies that name their request were skipped already, or close an idle connection. Three forms got through: - a copy without a request id was taken for the response to the next request. Without an id, only the first response on a connection can be attributed; on a reused connection the attempt now ends as one with an unknown outcome; - a copy on a connection used by a call of this host (copying a generation) was taken for the call's result. A response that names a request is skipped there; - a copy for the same request has the right id: a generation goes back to the source after its target refused it. A request that is sent to an upstream again uses a new connection.

Tests that failed before: refusal_writtenAgain_notTakenForNextResponse, callResponse_namesRequest_skipped, resume_sentToSameUpstreamAgain_onNewConnection.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -190,6 +190,7 @@
   send.organisation = request.organisation;
   send.is_stream = request.kind == RouteKind::kStream;
   send.is_idempotent = IsRepeatable(request);
+  send.is_repeat = !request.sent_to.insert(upstream.entry.id).second;
   send.resume = std::move(resume);
   send.position = request.events;
   request.attempts.push_back({send.attempt, upstream.entry.id, scope.now, is_resume, !is_resume});
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -37,6 +37,9 @@
   bool is_stream{false};
   /// The request may be sent again without harm, so a long idle connection may be used for it.
   bool is_idempotent{false};
+  /// The request was sent to this upstream before. A late copy of that response would have the same
+  /// id, so the request must not use a connection that is already open.
+  bool is_repeat{false};
   std::optional<Resume> resume;
   /// Number of events of the stream that the caller has; a new generation continues after them.
   std::uint64_t position{0};
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -89,6 +89,8 @@
   int sends{0};
   /// Number of sends that may have run; a generation that continues from its copy is the same run.
   int runs{0};
+  /// Upstreams to which the request was sent.
+  std::set<UpstreamId> sent_to;
   /// Upstreams that are excluded from retries and as the target of a migration.
   std::set<UpstreamId> excluded;
   std::optional<TimePoint> first_sent_at;
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -67,6 +67,7 @@
   call.endpoint = send.endpoint;
   call.bytes = codec_.encode_request(open_request.head, open_request.body, encoded);
   call.connect_timeout = internal::kConnectTimeout;
+  call.needs_new_connection = send.is_repeat;
   call.max_idle =
       send.is_idempotent ? internal::kMaxIdleIdempotent : internal::kMaxIdleNonIdempotent;
   ExchangeHandlers handlers;
@@ -94,6 +95,13 @@
     return false;
   }
   attempt.head = head;
+  if (metadata.request_id.empty() && !client_.IsFirstOnConnection(attempt.exchange)) {
+    metrics_.Add(AddToCounter{kDroppedReplies, "no_request_id", 1});
+    client_.Cancel(attempt.exchange);
+    HandleAttemptEnd(key, ExchangeResult::kBroken,
+                     "response without request id on a reused connection");
+    return true;
+  }
   attempt.metadata = std::move(metadata);
   const std::string* type = FindField(head, "Content-Type");
   constexpr int kOk = 200;
@@ -390,7 +398,12 @@
   call.timeout = timeout;
   call.max_body_bytes = internal::kMaxCallResponseBytes;
   ExchangeHandlers handlers;
-  handlers.on_head = [response](const HttpHead& head) {
+  handlers.on_head = [this, response](const HttpHead& head) {
+    if (!codec_.decode_response(head).request_id.empty()) {
+      // A call has no request id, so this is a late response to a caller's request.
+      metrics_.Add(AddToCounter{kDroppedReplies, "other_request", 1});
+      return false;
+    }
     response->status = head.status;
     return true;
   };
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -69,6 +69,8 @@
   std::uint64_t skipped_bytes{0};
   /// A response to another request arrived, so the connection is closed after this exchange.
   bool must_not_reuse{false};
+  /// Exchanges that have begun on this connection.
+  int exchanges{0};
   TimePoint idle_since{};
   std::chrono::milliseconds max_idle_time{internal::kDefaultIdleTime};
 };
@@ -114,9 +116,11 @@
       }
     });
   }
-  if (ChannelPointer channel = AcquireIdleChannel(exchange->call)) {
-    SendRequest(exchange, channel);
-    return;
+  if (!exchange->call.needs_new_connection) {
+    if (ChannelPointer channel = AcquireIdleChannel(exchange->call)) {
+      SendRequest(exchange, channel);
+      return;
+    }
   }
   Connect(exchange);
 }
@@ -197,6 +201,7 @@
 void HttpClient::SendRequest(const ExchangePointer& exchange, const ChannelPointer& channel) {
   exchange->channel = channel;
   channel->exchange = exchange;
+  ++channel->exchanges;
   channel->parser.emplace(HttpParser::Kind::kResponse, internal::kMaxHeaderBytes,
                           exchange->call.max_body_bytes);
   channel->skips_response = false;
@@ -363,6 +368,12 @@
   }
 }
 
+bool HttpClient::IsFirstOnConnection(ExchangeKey key) const {
+  const auto found = exchanges_.find(key);
+  return found != exchanges_.end() && found->second->channel &&
+         found->second->channel->exchanges == 1;
+}
+
 void HttpClient::SetReading(ExchangeKey key, bool is_reading) {
   const auto found = exchanges_.find(key);
   if (found != exchanges_.end() && found->second->channel) {
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -45,6 +45,8 @@
   std::chrono::milliseconds timeout{0};
   /// Connections that were idle for longer aren't reused.
   std::chrono::milliseconds max_idle{60000};
+  /// The call must not use a connection that is already open.
+  bool needs_new_connection{false};
   /// Largest body of the response.
   std::uint64_t max_body_bytes{64ULL << 20U};
 };
@@ -75,6 +77,10 @@
   /// @brief Ends an exchange and closes its connection; its handlers aren't called afterwards.
   void Cancel(ExchangeKey key);
 
+  /// @brief Tells whether an exchange is the first one on its connection, so that a response on it
+  ///     can't belong to another request.
+  [[nodiscard]] bool IsFirstOnConnection(ExchangeKey key) const;
+
   /// @brief Pauses or resumes reading the response, for back pressure.
   void SetReading(ExchangeKey key, bool is_reading);
 
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -56,6 +56,21 @@
   }
 }
 
+// Guards against a late copy of an engine's refusal that is taken for its response to the same
+// request, sent there again on the same connection: the generation would go on twice.
+TEST_CASE_METHOD(MigrationFixture, "resume_sentToSameUpstreamAgain_onNewConnection", "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kCopied, 5);
+  const Send first = EffectsOf<Send>().at(0);
+  REQUIRE(first.upstream == "engine-2");
+  CHECK_FALSE(send.is_repeat);
+  CHECK_FALSE(first.is_repeat);
+  EndAttempt(first.attempt, AttemptResult::kNotExecuted, 503);
+  const Send second = EffectsOf<Send>().at(0);
+  CHECK(second.upstream == "engine-1");
+  CHECK(second.is_repeat);
+}
+
 // Guards against a dead engine that looks idle because its streams broke, while the upstream list
 // can't be read (incident 030b: it was chosen as migration target three seconds later).
 TEST_CASE_METHOD(MigrationFixture, "engine_streamBreaks_suspectedDownUntilItResponds", "[entry]") {
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -33,23 +33,83 @@
   };
   const std::string head = "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 0\r\n";
   tcp::socket& upstream = Send("r1", "/book/a");
-  Write(upstream, head + "Server-Limit: 2.5\r\n\r\n");
+  Write(upstream, head + "Request-Id: r1\r\nServer-Limit: 2.5\r\n\r\n");
   static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
   CHECK(limit() == 2.5);
   SECTION("unreadable") {
     tcp::socket& again = Send("r2", "/book/a");
-    Write(again, head + "Server-Limit: some\r\n\r\n");
+    Write(again, head + "Request-Id: r2\r\nServer-Limit: some\r\n\r\n");
     static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
     CHECK(limit() == 2.5);
   }
   SECTION("no longer stated") {
     tcp::socket& again = Send("r2", "/book/a");
-    Write(again, head + "\r\n");
+    Write(again, head + "Request-Id: r2\r\n\r\n");
     static_cast<void>(ReadUntil(caller, "\r\n\r\n"));
     CHECK_FALSE(limit());
   }
 }
 
+// Guards against a copy of an earlier refusal, late on a kept connection, that is taken for the
+// response to the next request: its caller would repeat a request that runs.
+TEST_CASE_METHOD(ResponseFixture, "refusal_writtenAgain_notTakenForNextResponse", "[loop]") {
+  const std::string refusal =
+      "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n";
+  const std::string id = GENERATE("Request-Id: r1\r\n\r\n", "\r\n");
+  tcp::socket& upstream = Send("r1", "/book/a");
+  Write(upstream, refusal + "Request-Id: r1\r\n\r\n");
+  CHECK(ReadUntil(caller, "not_run").find("503") != std::string::npos);
+  SECTION("before the next request is written") {
+    Write(upstream, refusal + id);
+    RunFor(50ms);
+    Write(caller, RequestText("r2", "/book/a"));
+    REQUIRE(RunUntil([this] { return IsUpstreamReached() && upstream_sockets.size() == 2; }));
+    static_cast<void>(ReadUntil(upstream_sockets.back(), "body"));
+    Write(
+        upstream_sockets.back(),
+        "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Stamp: s\r\nContent-Length: 4\r\n\r\nsold");
+    CHECK(ReadUntil(caller, "sold").find("200 OK") != std::string::npos);
+  }
+  SECTION("while the next request runs") {
+    Write(caller, RequestText("r2", "/book/a"));
+    REQUIRE(ReadUntil(upstream, "body").find("r2") != std::string::npos);
+    Write(upstream, refusal + id);
+    Write(
+        upstream,
+        "HTTP/1.1 200 OK\r\nRequest-Id: r2\r\nResponse-Stamp: s\r\nContent-Length: 4\r\n\r\nsold");
+    const std::string response = ReadUntil(caller, "\r\n\r\n");
+    CHECK(response.find("503") == std::string::npos);
+    CHECK(response.find("not_run") == std::string::npos);
+    // Without an id nothing tells whose response it is.
+    CHECK((response.find("200 OK") != std::string::npos) == (id != "\r\n"));
+  }
+}
+
+// Guards against a response to a caller's request that is taken for the result of a copy call.
+TEST_CASE_METHOD(ResponseFixture, "callResponse_namesRequest_skipped", "[loop]") {
+  tcp::socket& upstream = Send("r1", "/long/a");
+  Write(upstream, std::string(kStreamHead) + "Transfer-Encoding: chunked\r\n\r\n" +
+                      "f\r\nid: 1\ndata: a\n\n\r\n");
+  static_cast<void>(ReadUntil(caller, "data: a"));
+  AddUpstream("engine-2", "engines", {"127.0.0.1", FreePort()});
+  entry::UpstreamEntry source = runtime.state().upstreams.at("engine-1").entry;
+  source.leaving = true;
+  runtime.Apply(entry::UpstreamListed{source, ++last_offset});
+  REQUIRE(RunUntil([this] { return IsUpstreamReached() && upstream_sockets.size() == 2; }));
+  REQUIRE(ReadUntil(upstream_sockets.back(), "target").find("kv-move") != std::string::npos);
+  const auto migration = [this] { return runtime.state().requests.begin()->second.migration; };
+  REQUIRE(migration());
+  Write(upstream_sockets.back(),
+        "HTTP/1.1 503 Service Unavailable\r\nRequest-Id: r0\r\nContent-Length: 0\r\n\r\n");
+  RunFor(30ms);
+  REQUIRE(migration());
+  CHECK(migration()->handle.empty());
+  const std::string body = R"({"handle":"h-1","created_rev":1})";
+  Write(upstream_sockets.back(),
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  CHECK(RunUntil([&] { return migration() && migration()->handle == "h-1"; }));
+}
+
 // Guards against streams that are cut because their server marks the end by closing.
 TEST_CASE_METHOD(ResponseFixture, "stream_withoutLengthClosedInOrder_complete", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -15,8 +15,8 @@
 
 namespace snipeturn::loop {
 
-/// A runtime with one plain upstream, which is the fixture's listener, and a caller that keeps its
-/// connection open.
+/// A runtime with a plain upstream and an engine, both of which are the fixture's listener, and a
+/// caller that keeps its connection open.
 class RuntimeFixture : public LoopFixture {
  public:
   RuntimeFixture()
@@ -27,6 +27,12 @@
     entry::DesiredState desired;
     desired.version = 1;
     desired.services["plain"].name = "plain";
+    entry::Service& engines = desired.services["engines"];
+    engines.name = "engines";
+    engines.engine = entry::EngineLimits{};
+    engines.engine->slots = 24;
+    engines.engine->memory_tokens = 30000;
+    engines.engine->supports_migration = true;
     entry::Route route;
     route.name = "book";
     route.host = "svc.example";
@@ -43,18 +49,27 @@
     route.name = "long";
     route.path_prefix = "/long/";
     route.kind = entry::RouteKind::kStream;
+    route.services = {{"engines", 1}};
     desired.routes.push_back(route);
     runtime.Apply(entry::DesiredStateRead{desired});
     runtime.Apply(entry::StoreConfirmed{BootTime()});
+    AddUpstream("plain-1", "plain", endpoint());
+    AddUpstream("engine-1", "engines", endpoint());
+    acceptor.non_blocking(true);
+    caller.connect({boost::asio::ip::address_v4::loopback(), front});
+  }
+
+  entry::UpstreamEntry AddUpstream(const std::string& id,
+                                   const std::string& service,
+                                   const Endpoint& at) {
     entry::UpstreamEntry upstream;
-    upstream.id = "plain-1";
-    upstream.service = "plain";
+    upstream.id = id;
+    upstream.service = service;
     upstream.zone = "zone-a";
-    upstream.endpoint = endpoint();
+    upstream.endpoint = at;
     upstream.slots = 6;
-    runtime.Apply(entry::UpstreamListed{upstream, 1});
-    acceptor.non_blocking(true);
-    caller.connect({boost::asio::ip::address_v4::loopback(), front});
+    runtime.Apply(entry::UpstreamListed{upstream, ++last_offset});
+    return upstream;
   }
 
   static std::uint16_t FreePort() {
@@ -98,6 +113,7 @@
   }
 
   std::uint16_t front{0};
+  std::uint64_t last_offset{0};
   LogWriter log;
   EntryRuntime runtime;
   tcp::socket caller;
