Test that a response cut at any byte is never passed on as whole

It can't happen here: a response without a complete head, or with less than its length or its last chunk, is a broken attempt, whatever the way the connection ended. response_cutAtAnyByte_neverComplete closes the connection at each byte of five forms of response, with and without an interim response before it; response_headOrBodyCut_notPassedOnAsWhole checks what the caller gets for a plain request and a stream.

--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -120,6 +120,25 @@
   CHECK(response.find("0\r\n\r\n") != std::string::npos);
 }
 
+// Guards against a 200 with an empty or short body, framed as whole, from a server that stopped in
+// the middle of its response.
+TEST_CASE_METHOD(ResponseFixture, "response_headOrBodyCut_notPassedOnAsWhole", "[loop]") {
+  const std::string path = GENERATE("/book/a", "/long/a");
+  const std::string part =
+      GENERATE("HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResp",
+               "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
+               "Content-Type: text/event-stream\r\n",
+               "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\n"
+               "Content-Length: 9\r\n\r\nshort");
+  CAPTURE(path, part);
+  tcp::socket& upstream = Send("r1", path);
+  Write(upstream, part);
+  upstream.close();
+  const std::string response = ReadUntil(caller, "\r\n\r\n");
+  CHECK(response.find("502") != std::string::npos);
+  CHECK(response.find("200 OK") == std::string::npos);
+}
+
 // Guards against a stream that broke off and looks complete to its caller.
 TEST_CASE_METHOD(ResponseFixture, "stream_withoutLengthBrokenOff_incomplete", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -116,6 +116,29 @@
   CHECK(result == ExchangeResult::kBroken);
 }
 
+// Guards against a server that stops anywhere in its response and closes in order: the part that
+// came must not look like a whole response.
+TEST_CASE_METHOD(ClientFixture, "response_cutAtAnyByte_neverComplete", "[loop]") {
+  const std::string status_line = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+  const std::string whole =
+      status_line + GENERATE("Content-Length: 4\r\n\r\nbody", "Content-Length: 0\r\n\r\n",
+                             "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+                             "Transfer-Encoding: chunked\r\nTrailer: T\r\n\r\n"
+                             "4\r\nbody\r\n0\r\nT: 1\r\n\r\n",
+                             "Server: s\r\n\r\n");
+  const std::string interim = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    CAPTURE(length, whole);
+    Start();
+    tcp::socket server = Accept();
+    ReadUntil(server, "\r\n\r\n");
+    Write(server, interim + whole.substr(0, length));
+    server.close();
+    REQUIRE(EndsInTime());
+    CHECK(result == ExchangeResult::kBroken);
+  }
+}
+
 TEST_CASE_METHOD(ClientFixture, "response_withoutLength_completeAtOrderlyClose", "[loop]") {
   Start();
   tcp::socket server = Accept();
