Admit requests late in a planned stop by how long their service takes

Cut off without a response can't happen here: open requests end with 502 or a true refusal before the exit. But a plain request was admitted while 0.8 s of the grace were left, whatever its service needed, and a booking at a slow upstream then ended with an unknown outcome although another host could have served it.

The longest response time of the service in the last 10 s, with a margin, decides now, at least the 0.8 s of before. What doesn't fit is refused at once as not run.

--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -12,6 +12,7 @@
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/shutdown.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -187,6 +188,9 @@
   if (attempt.is_reading_prompt && (is_answer || event.result == AttemptResult::kStreamFinished)) {
     RecordBegunAnswer(scope, request);
   }
+  if (is_answer && request.kind != RouteKind::kStream) {
+    RecordResponseTime(scope, request, ToMilliseconds(scope.now - attempt.sent_at));
+  }
   if (event.result == AttemptResult::kStreamFinished) {
     CompleteStream(scope, request, event.attempt);
     return;
--- a/src/snipeturn/entry/shutdown.cc
+++ b/src/snipeturn/entry/shutdown.cc
@@ -11,8 +11,12 @@
 namespace snipeturn::entry::internal {
 namespace {
 
-/// Upper bound on the duration of a request to a plain service, with a wide margin.
-constexpr std::chrono::milliseconds kMaxPlainDuration{800};
+/// Duration for which a request to a plain service has to fit into the rest of the grace period,
+/// with a wide margin over usual response times.
+constexpr std::chrono::milliseconds kMinPlainDuration{800};
+/// Factor on the longest recent response time of a plain service, and how long it counts.
+constexpr double kPlainMargin = 1.5;
+constexpr std::chrono::seconds kResponseTimeWindow{10};
 /// Time to the first event of a stream, and between two events, at an engine under load.
 constexpr std::chrono::milliseconds kTimeToFirstEvent{1000};
 constexpr std::chrono::milliseconds kEventInterval{50};
@@ -50,8 +54,28 @@
   }
 }
 
+std::chrono::milliseconds PlainDuration(const EventScope& scope, const Request& request) {
+  const auto found = scope.state.response_times.find(request.service);
+  if (found == scope.state.response_times.end() ||
+      scope.now - found->second.at > kResponseTimeWindow) {
+    return kMinPlainDuration;
+  }
+  return std::max(kMinPlainDuration,
+                  std::chrono::milliseconds(static_cast<std::int64_t>(
+                      kPlainMargin * static_cast<double>(found->second.longest.count()))));
+}
+
 }  // namespace
 
+void RecordResponseTime(EventScope& scope,
+                        const Request& request,
+                        std::chrono::milliseconds duration) {
+  State::ResponseTime& recent = scope.state.response_times[request.service];
+  if (duration >= recent.longest || scope.now - recent.at > kResponseTimeWindow) {
+    recent = {duration, scope.now};
+  }
+}
+
 void BeginShutdown(EventScope& scope) {
   State& state = scope.state;
   if (state.is_stopping) {
@@ -82,7 +106,7 @@
   if (!state.is_stopping) {
     return false;
   }
-  std::chrono::milliseconds duration = kMaxPlainDuration;
+  std::chrono::milliseconds duration = PlainDuration(scope, request);
   if (request.kind == RouteKind::kStream) {
     const bool is_before_balancer_update = scope.now - state.stopping_since < kBalancerDelay;
     const double tokens = is_before_balancer_update || request.head.max_output_tokens == 0
--- a/src/snipeturn/entry/shutdown.h
+++ b/src/snipeturn/entry/shutdown.h
@@ -7,6 +7,13 @@
 
 namespace snipeturn::entry::internal {
 
+/// @brief Records how long a plain service took to respond. Requests that come late in a planned
+/// stop
+///     are admitted by the longest recent time.
+void RecordResponseTime(EventScope& scope,
+                        const Request& request,
+                        std::chrono::milliseconds duration);
+
 /// @brief Starts the planned stop of the process: the host is no longer ready, and requests that
 ///     would outlive the process are refused. Does nothing during a stop.
 void BeginShutdown(EventScope& scope);
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -141,6 +141,13 @@
   std::map<std::string, RetryBudget> retry_budgets;
   /// By route.
   std::map<std::string, LengthModel> lengths;
+  /// Longest recent response time of a plain service.
+  struct ResponseTime {
+    std::chrono::milliseconds longest{0};
+    TimePoint at{};
+  };
+  /// By service.
+  std::map<std::string, ResponseTime> response_times;
   /// Tokens charged to organisations, halved at a fixed interval.
   std::map<std::string, double> served_tokens;
   TimePoint served_decayed_at{};
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -1,5 +1,8 @@
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 #include "snipeturn/entry/entry_fixture.h"
 
 namespace snipeturn::entry {
@@ -75,6 +78,52 @@
   CHECK(state.requests.count(open) == 1);
 }
 
+// Guards against requests that come late in the grace period of a planned stop, are passed on to
+// slow upstreams and are given up at its end, among them requests that may not be repeated.
+TEST_CASE_METHOD(ShutdownFixture, "requestsThroughGrace_slowUpstream_noneGivenUp", "[entry]") {
+  const std::chrono::milliseconds response_time = GENERATE(50ms, 700ms, 1500ms, 2500ms);
+  const std::string path = GENERATE("/book/a", "/look/a");
+  CAPTURE(response_time, path);
+  time_limit = GENERATE(900ms, 6000ms);
+  std::map<AttemptKey, TimePoint> due;
+  int served = 0;
+  int refused = 0;
+  const auto handle = [&] {
+    for (const Send& send : EffectsOf<Send>()) {
+      due[send.attempt] = now + response_time;
+    }
+    served += static_cast<int>(EffectsOf<Relay>().size());
+    for (const Refuse& refuse : EffectsOf<Refuse>()) {
+      CHECK(refuse.reason == (refuse.status == 504 ? "timeout" : "stopping"));
+      CHECK(refuse.status != 502);
+      ++refused;
+    }
+  };
+  const auto run = [&](std::chrono::milliseconds time) {
+    for (std::chrono::milliseconds passed{0}; passed < time; passed += 20ms) {
+      AdvanceTime(20ms);
+      handle();
+      ConfirmStore();
+      ReceiveRequest(path);
+      handle();
+      while (!due.empty() && due.begin()->second <= now) {
+        const AttemptKey attempt = due.begin()->first;
+        due.erase(due.begin());
+        EndAttempt(attempt, AttemptResult::kAnswered, 200);
+        handle();
+      }
+    }
+  };
+  state.upstreams.at("plain-1").entry.slots = 1000;
+  run(5s);
+  Apply(ShutdownRequested{});
+  handle();
+  refused = 0;
+  run(state.options.bounds.grace);
+  CHECK(refused > 0);
+  CHECK((served > 0) == (response_time < *time_limit));
+}
+
 // Guards against an exit that cuts off an open request within the grace period.
 TEST_CASE_METHOD(ShutdownFixture, "process_openRequest_exitsAfterItEnds", "[entry]") {
   ReceiveRequest("/book/a");
