Keep what upstreams say of leaving, and the pauses that they ask for

An upstream that leaves says so in all its responses, and one that refuses with 503 and Retry-After wants no request from this host for so long; neither header was read, so hosts learned of a leaving upstream from the store only and sent requests to an upstream that had asked for a pause.

Both are decoded once in platform/, also from interim responses and responses to calls, next to the stated limit. Placement asks AvailableFrom() when an upstream may get the next request. A notice stops new work like the store's, migrates running generations, is told to other hosts for 10 s, and holds for that incarnation although the store still lists it as serving; a wrong one lapses after two minutes. If all upstreams are paused, requests wait only if their turn comes in time; if all said that they leave, they are refused at once.

The reason of a refusal at once is a constant now: it was read from the request after that was removed (found by upstream_refusesWithRetryAfter_paused).

On the code before, the headers do not exist for the reducer, so these tests do not build there.

--- a/src/snipeturn/backpressure/fwd.h
+++ b/src/snipeturn/backpressure/fwd.h
@@ -2,6 +2,7 @@
 
 namespace snipeturn::backpressure {
 
+struct Pause;
 struct RateLimit;
 struct Signals;
 
--- a/src/snipeturn/entry/admission.cc
+++ b/src/snipeturn/entry/admission.cc
@@ -65,11 +65,14 @@
 }
 
 TimePoint AvailableFrom(const State& state, const Upstream& upstream, TimePoint now) {
+  const TimePoint after_pause = backpressure::NextStart(upstream.pause, now);
   const std::optional<double> rate = PermittedRate(state, upstream, now);
-  return rate ? backpressure::NextStart(upstream.rate_limit, *rate, now) : now;
+  return rate ? std::max(after_pause, backpressure::NextStart(upstream.rate_limit, *rate, now))
+              : after_pause;
 }
 
 void RecordRequest(const State& state, Upstream& upstream, TimePoint now) {
+  backpressure::RecordStart(upstream.pause, now);
   if (const std::optional<double> rate = PermittedRate(state, upstream, now)) {
     backpressure::RecordStart(upstream.rate_limit, *rate, now);
   }
--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -90,6 +90,7 @@
     outcome.count.at = scope.now;
   }
   AdoptReportedLimits(scope, event.limits);
+  AdoptReportedLeavings(scope, event.leaving);
   if (!event.is_forwarded) {
     scope.effects.push_back(ForwardCellLoad{event});
   }
@@ -168,6 +169,7 @@
   sum.load = LocalLoad(state);
   internal::AddOutcomes(sum.outcomes, FailingUpstreams(state, now), now);
   sum.limits = ReportedLimits(state, now, false);
+  sum.leaving = ReportedLeavings(state, now, false);
   for (const auto& [host, peer] : state.peers) {
     if (peer.cell == state.cell && now - peer.at <= internal::kCellSumTtl) {
       sum.hosts += 1;
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <vector>
 
+#include "snipeturn/backpressure/pause.h"
 #include "snipeturn/base/hash.h"
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/admission.h"
@@ -120,29 +121,49 @@
 }
 
 /// Forecasts when a request could be sent while the upstreams of its service want no request before
-/// `available_from`, by the rate at which they take those of this host.
+/// `available_from`: after those that are queued before it, at the rate at which limited upstreams
+/// take them or paused ones return.
 TimePoint ForecastDispatch(const EventScope& scope,
                            const Request& request,
                            TimePoint available_from) {
+  if (available_from == TimePoint::max()) {
+    return available_from;
+  }
   double rate = 0;
+  int upstreams = 0;
   for (const auto& [id, upstream] : scope.state.upstreams) {
     if (upstream.entry.service == request.service && IsServing(scope.state, upstream)) {
       rate += PermittedRate(scope.state, upstream, scope.now).value_or(0);
+      ++upstreams;
     }
   }
-  if (rate <= 0 || available_from == TimePoint::max()) {
-    return available_from;
-  }
-  const auto ahead = std::count_if(
+  const auto ahead = static_cast<double>(std::count_if(
       scope.state.requests.begin(), scope.state.requests.end(), [&request](const auto& entry) {
         const Request& other = entry.second;
         return other.phase == RequestPhase::kQueued && other.service == request.service &&
                other.priority <= request.priority && other.key != request.key;
-      });
-  const std::chrono::duration<double> wait(static_cast<double>(ahead) / rate);
+      }));
+  if (rate <= 0) {
+    return available_from + backpressure::RampTime(ahead / std::max(1, upstreams));
+  }
+  const std::chrono::duration<double> wait(ahead / rate);
   return available_from + std::chrono::duration_cast<std::chrono::microseconds>(wait);
 }
 
+/// Tells whether a service has upstreams and each of them said that it is leaving.
+bool HaveAllSaidLeaving(const State& state, const std::string& service) {
+  int count = 0;
+  for (const auto& [id, upstream] : state.upstreams) {
+    if (upstream.entry.service == service) {
+      if (!upstream.said_leaving_at) {
+        return false;
+      }
+      ++count;
+    }
+  }
+  return count > 0;
+}
+
 /// Sends a queued request if an upstream has room.
 Placement TryDispatch(EventScope& scope, Request& request) {
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
@@ -220,13 +241,18 @@
     return;
   }
   request.phase = RequestPhase::kQueued;
-  request.last_reason = ReasonOf(placement.result);
+  const std::string_view reason = ReasonOf(placement.result);
+  request.last_reason = reason;
   const auto max_wait = MaxQueueWait(scope, request);
+  if (placement.result == PlacementResult::kNoUpstream && !request.is_started &&
+      request.runs == 0 && HaveAllSaidLeaving(scope.state, request.service)) {
+    RefuseRequest(scope, request, 503, reason, RetryAfter(scope, request, placement.result));
+    return;
+  }
   if (placement.result == PlacementResult::kDeferred && !request.is_started && request.runs == 0) {
     const TimePoint forecast = ForecastDispatch(scope, request, placement.available_from);
     if (forecast > request.arrived + max_wait) {
-      RefuseRequest(scope, request, 503, request.last_reason,
-                    RetryAfterDeferral(scope, request, forecast));
+      RefuseRequest(scope, request, 503, reason, RetryAfterDeferral(scope, request, forecast));
       return;
     }
   }
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -80,10 +80,14 @@
   std::string reason;
 };
 
-/// The head of a response has arrived.
+/// The head of a response has arrived from an upstream.
 struct UpstreamSignalled {
-  AttemptKey attempt{0};
+  UpstreamId upstream;
+  /// When the request or call was sent.
+  TimePoint sent_at{};
   backpressure::Signals signals;
+  /// The final response to a caller's request. In others, what isn't stated says nothing.
+  bool is_final{true};
 };
 
 /// Events of a stream have arrived and are buffered in the event loop.
@@ -216,6 +220,13 @@
   std::chrono::milliseconds age{0};
 };
 
+/// An upstream that said that it is leaving, as one host tells another.
+struct ReportedLeaving {
+  UpstreamId id;
+  /// Start of the incarnation, milliseconds since the epoch.
+  std::int64_t start_time_ms{0};
+};
+
 struct PeerLoadReceived {
   std::string host;
   std::string zone;
@@ -241,6 +252,8 @@
   OutcomeTable outcomes;
   /// Statements that the host had from the upstreams themselves.
   std::vector<ReportedLimit> limits;
+  /// Upstreams that told the host that they are leaving.
+  std::vector<ReportedLeaving> leaving;
   /// Time of the broadcast by the sender's clock; orders its tables.
   TimePoint broadcast_at{};
   /// Forwarded by a host of this cell, which received the table from another cell.
@@ -256,6 +269,8 @@
   CellOutcomes outcomes;
   /// Newest statements that the hosts of the cell know.
   std::vector<ReportedLimit> limits;
+  /// Upstreams that told a host of the cell that they are leaving.
+  std::vector<ReportedLeaving> leaving;
   /// Forwarded by a host of this cell, which received the sum from the other cell.
   bool is_forwarded{false};
 };
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -57,6 +57,7 @@
   table.unreachable_upstreams = UnreachableUpstreams(state, now);
   table.outcomes = FailingUpstreams(state, now);
   table.limits = ReportedLimits(state, now, true);
+  table.leaving = ReportedLeavings(state, now, true);
   return table;
 }
 
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -105,6 +105,7 @@
     count.at = scope.now;
   }
   AdoptReportedLimits(scope, event.limits);
+  AdoptReportedLeavings(scope, event.leaving);
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -174,7 +174,8 @@
       continue;
     }
     const TimePoint available_from = AvailableFrom(state, upstream, now);
-    if (available_from > now && source == nullptr) {
+    if (available_from > now &&
+        (source == nullptr || backpressure::IsPaused(upstream.pause, now))) {
       best.available_from = std::min(best.available_from, available_from);
       continue;
     }
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -83,19 +83,6 @@
   return true;
 }
 
-void StartLeaving(EventScope& scope, Upstream& upstream, std::string_view reason) {
-  if (upstream.phase == UpstreamPhase::kLeaving) {
-    return;
-  }
-  upstream.phase = UpstreamPhase::kLeaving;
-  upstream.phase_since = scope.now;
-  Log(scope, log_events::kUpstreamLeaving,
-      fmt::format("upstream={} service={} reason={}", upstream.entry.id, upstream.entry.service,
-                  reason));
-  ScheduleMigrationsFrom(scope, upstream);
-  ScheduleUpstreamReview(scope);
-}
-
 std::set<UpstreamId> UpstreamsInUse(const State& state) {
   std::set<UpstreamId> used;
   for (const auto& [key, request] : state.requests) {
@@ -119,6 +106,19 @@
   }
 }
 
+void StartLeaving(EventScope& scope, Upstream& upstream, std::string_view reason) {
+  if (upstream.phase == UpstreamPhase::kLeaving) {
+    return;
+  }
+  upstream.phase = UpstreamPhase::kLeaving;
+  upstream.phase_since = scope.now;
+  Log(scope, log_events::kUpstreamLeaving,
+      fmt::format("upstream={} service={} reason={}", upstream.entry.id, upstream.entry.service,
+                  reason));
+  ScheduleMigrationsFrom(scope, upstream);
+  ScheduleUpstreamReview(scope);
+}
+
 void AdoptDesiredState(EventScope& scope, const DesiredStateRead& event) {
   State& state = scope.state;
   if (state.desired && event.desired.version <= state.desired->version) {
@@ -198,8 +198,13 @@
   }
   if (entry.leaving) {
     StartLeaving(scope, upstream, "told");
-  } else if (upstream.phase == UpstreamPhase::kMissing || upstream.was_unlisted) {
+  } else if (!IsLeavingOutdated(upstream, scope.now)) {
+    AdoptLeaving(scope, upstream, "said", false);
+  } else if (upstream.phase == UpstreamPhase::kMissing || upstream.was_unlisted ||
+             upstream.said_leaving_at) {
     upstream.was_unlisted = false;
+    upstream.said_leaving_at.reset();
+    upstream.said_leaving_here = false;
     upstream.phase = UpstreamPhase::kServing;
     upstream.phase_since = scope.now;
     Log(scope, log_events::kUpstreamListed,
@@ -262,7 +267,7 @@
   const bool is_other_incarnation =
       event.start_time_ms != 0 && start_time_ms != 0 && event.start_time_ms != start_time_ms;
   if (!is_other_incarnation) {
-    StartLeaving(scope, found->second, "reported");
+    AdoptLeaving(scope, found->second, "reported", true);
   }
 }
 
@@ -281,7 +286,8 @@
       const bool is_needed =
           upstream != state.upstreams.end() &&
           (upstream->second.phase == UpstreamPhase::kMissing ||
-           (upstream->second.phase == UpstreamPhase::kServing && !is_list_fresh));
+           (upstream->second.phase == UpstreamPhase::kServing && !is_list_fresh)) &&
+          !backpressure::IsPaused(upstream->second.pause, scope.now);
       if (is_needed && requested.insert(attempt.upstream).second) {
         scope.effects.push_back(ReadReport{attempt.upstream, upstream->second.entry.endpoint});
       }
@@ -307,7 +313,9 @@
       }
       is_pending = true;
     } else if (upstream.phase == UpstreamPhase::kLeaving) {
-      if (used.count(id) == 0 && scope.now - upstream.phase_since >= kRemoveAfter) {
+      // An entry of the same incarnation that is listed later would bring the upstream back.
+      const bool is_kept = !IsLeavingOutdated(upstream, scope.now);
+      if (!is_kept && used.count(id) == 0 && scope.now - upstream.phase_since >= kRemoveAfter) {
         removed.push_back(id);
       } else {
         is_pending = true;
--- a/src/snipeturn/entry/store_updates.h
+++ b/src/snipeturn/entry/store_updates.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <string_view>
+
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/event_scope.h"
 
@@ -20,6 +22,9 @@
 /// @brief Handles a complete read of the list; upstreams that are missing from it were removed.
 void AdoptUpstreamList(EventScope& scope, const UpstreamListRead& event);
 
+/// @brief Stops new work at an upstream and migrates its running generations.
+void StartLeaving(EventScope& scope, Upstream& upstream, std::string_view reason);
+
 /// @brief Makes the next review of the upstreams due.
 void ScheduleUpstreamReview(EventScope& scope);
 
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "snipeturn/backpressure/pause.h"
 #include "snipeturn/backpressure/rate_limit.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
@@ -82,6 +83,12 @@
   /// Moving mean of the time between two events of a stream, seconds; 0 before the first sample.
   double event_interval_s{0};
   backpressure::RateLimit rate_limit;
+  backpressure::Pause pause;
+  /// When this incarnation said that it is leaving, in a response or a report, or when another host
+  /// told so.
+  std::optional<TimePoint> said_leaving_at;
+  /// It said so to this host.
+  bool said_leaving_here{false};
   /// Its last response stated something that can't be parsed.
   bool has_unreadable_signal{false};
   /// Starts within the last second while the upstream is cold.
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -17,6 +17,12 @@
 namespace internal {
 namespace {
 
+/// An upstream that said that it is leaving has stopped by then; if the store still lists it as
+/// serving, the statement was wrong.
+constexpr std::chrono::minutes kMaxLeavingTime{2};
+/// How long hosts tell one another that an upstream is leaving; the store has told it by then.
+constexpr std::chrono::seconds kLeavingReportTime{10};
+
 void LogLimitEnd(EventScope& scope, const Upstream& upstream, std::string_view reason) {
   Log(scope, log_events::kLimitEnded,
       fmt::format("upstream={} service={} reason={}", upstream.entry.id, upstream.entry.service,
@@ -51,34 +57,75 @@
   DispatchQueue(scope);
 }
 
+void AdoptPause(EventScope& scope, Upstream& upstream, std::chrono::milliseconds duration) {
+  const bool was_paused = backpressure::IsPaused(upstream.pause, scope.now);
+  const double spread = UnitRendezvousWeight(upstream.entry.id, scope.state.options.host);
+  if (!backpressure::AdoptPause(upstream.pause, duration, spread, scope.now)) {
+    return;
+  }
+  IncrementCounter(scope, kUpstreamSignals, "pause");
+  Log(scope, log_events::kPauseStated,
+      fmt::format("upstream={} service={} asked_ms={} for_ms={} was_paused={}", upstream.entry.id,
+                  upstream.entry.service, duration.count(),
+                  ToMilliseconds(upstream.pause.until - scope.now).count(), was_paused));
+}
+
 }  // namespace
 
 void HandleSignals(EventScope& scope, const UpstreamSignalled& event) {
-  const auto key = scope.state.request_by_attempt.find(event.attempt);
-  if (key == scope.state.request_by_attempt.end()) {
-    return;
-  }
-  const Request& request = scope.state.requests.at(key->second);
-  const auto attempt =
-      std::find_if(request.attempts.begin(), request.attempts.end(),
-                   [&event](const Attempt& item) { return item.key == event.attempt; });
-  const auto upstream = scope.state.upstreams.find(attempt->upstream);
-  if (upstream == scope.state.upstreams.end()) {
+  const auto found = scope.state.upstreams.find(event.upstream);
+  if (found == scope.state.upstreams.end()) {
     return;
   }
-  const bool was_unreadable =
-      std::exchange(upstream->second.has_unreadable_signal, event.signals.has_unreadable_limit);
-  if (event.signals.has_unreadable_limit) {
+  Upstream& upstream = found->second;
+  const backpressure::Signals& signals = event.signals;
+  const bool is_unreadable = signals.unreadable.has_value();
+  if (is_unreadable) {
     IncrementCounter(scope, kUpstreamSignals, "unreadable");
-    if (!was_unreadable) {
+    if (!upstream.has_unreadable_signal) {
       Log(scope, log_events::kSignalUnreadable,
-          fmt::format("upstream={} signal=limit", upstream->first));
+          fmt::format("upstream={} signal={}", event.upstream, ToString(*signals.unreadable)));
     }
-    return;
   }
-  AdoptLimit(
-      scope, upstream->second,
-      backpressure::MakeStatement(event.signals.requests_per_second, attempt->sent_at, scope.now));
+  upstream.has_unreadable_signal = is_unreadable;
+  const bool states_limit = signals.requests_per_second.has_value();
+  const bool states_no_limit =
+      event.is_final && !states_limit && signals.unreadable != backpressure::SignalKind::kLimit;
+  if (states_limit || states_no_limit) {
+    AdoptLimit(scope, upstream,
+               backpressure::MakeStatement(signals.requests_per_second, event.sent_at, scope.now));
+  }
+  if (signals.pause) {
+    AdoptPause(scope, upstream, *signals.pause);
+  }
+  if (signals.is_leaving) {
+    AdoptLeaving(scope, upstream, "said", true);
+  }
+}
+
+void AdoptLeaving(EventScope& scope, Upstream& upstream, std::string_view reason, bool is_own) {
+  const bool is_news = !upstream.said_leaving_at || (is_own && !upstream.said_leaving_here);
+  upstream.said_leaving_here = upstream.said_leaving_here || is_own;
+  upstream.said_leaving_at = upstream.said_leaving_at.value_or(scope.now);
+  if (is_news && is_own) {
+    IncrementCounter(scope, kUpstreamSignals, "leaving");
+    scope.state.load_changes += 1;  // Makes the next load table, which reports it, due at once.
+  }
+  StartLeaving(scope, upstream, reason);
+}
+
+void AdoptReportedLeavings(EventScope& scope, const std::vector<ReportedLeaving>& leaving) {
+  for (const ReportedLeaving& report : leaving) {
+    const auto upstream = scope.state.upstreams.find(report.id);
+    if (upstream != scope.state.upstreams.end() &&
+        upstream->second.entry.start_time_ms == report.start_time_ms) {
+      AdoptLeaving(scope, upstream->second, "said_to_host", false);
+    }
+  }
+}
+
+bool IsLeavingOutdated(const Upstream& upstream, TimePoint now) noexcept {
+  return !upstream.said_leaving_at || now - *upstream.said_leaving_at > kMaxLeavingTime;
 }
 
 void AdoptReportedLimits(EventScope& scope, const std::vector<ReportedLimit>& limits) {
@@ -115,4 +162,15 @@
   return limits;
 }
 
+std::vector<ReportedLeaving> ReportedLeavings(const State& state, TimePoint now, bool only_own) {
+  std::vector<ReportedLeaving> leaving;
+  for (const auto& [id, upstream] : state.upstreams) {
+    if (upstream.said_leaving_at && (upstream.said_leaving_here || !only_own) &&
+        now - *upstream.said_leaving_at < internal::kLeavingReportTime) {
+      leaving.push_back({id, upstream.entry.start_time_ms});
+    }
+  }
+  return leaving;
+}
+
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/upstream_signals.h
+++ b/src/snipeturn/entry/upstream_signals.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <string_view>
 #include <vector>
 
 #include "snipeturn/entry/event.h"
@@ -16,6 +17,12 @@
                                                         TimePoint now,
                                                         bool only_own);
 
+/// @brief Returns the upstreams that said to this host, or to one that reported it, that they are
+///     leaving, for a message to other hosts.
+[[nodiscard]] std::vector<ReportedLeaving> ReportedLeavings(const State& state,
+                                                            TimePoint now,
+                                                            bool only_own);
+
 namespace internal {
 
 /// @brief Handles what an upstream says about itself in the head of a response.
@@ -24,6 +31,20 @@
 /// @brief Adopts the statements of upstreams that another host reports.
 void AdoptReportedLimits(EventScope& scope, const std::vector<ReportedLimit>& limits);
 
+/// @brief Adopts what another host reports of upstreams that are leaving.
+void AdoptReportedLeavings(EventScope& scope, const std::vector<ReportedLeaving>& leaving);
+
+/// @brief Stops new work at an upstream that says that it is leaving.
+/// @param scope State, effects and time of the event.
+/// @param upstream The upstream.
+/// @param reason Source of the statement, for the log.
+/// @param is_own The upstream said so to this host.
+void AdoptLeaving(EventScope& scope, Upstream& upstream, std::string_view reason, bool is_own);
+
+/// @brief Tells whether an upstream that the store lists as serving may serve although it said that
+///     it is leaving: it said so long ago, so the statement was wrong.
+[[nodiscard]] bool IsLeavingOutdated(const Upstream& upstream, TimePoint now) noexcept;
+
 /// @brief Ends a limit that the upstream has not repeated for long.
 void EndExpiredLimit(EventScope& scope, Upstream& upstream);
 
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "snipeturn/loop/boot_clock.h"
 #include "snipeturn/loop/entry_runtime.h"
 
 namespace snipeturn::loop {
@@ -61,6 +62,8 @@
   const entry::AttemptKey key = send.attempt;
   ActiveAttempt attempt;
   attempt.request = send.request;
+  attempt.upstream = send.upstream;
+  attempt.sent_at = BootTime();
   attempt.is_stream = send.is_stream;
   HttpCall call;
   call.pool = internal::PoolName(send.upstream);
@@ -72,6 +75,8 @@
       send.is_idempotent ? internal::kMaxIdleIdempotent : internal::kMaxIdleNonIdempotent;
   ExchangeHandlers handlers;
   handlers.on_head = [this, key](const HttpHead& head) { return HandleResponseHead(key, head); };
+  handlers.on_interim = [this, upstream = attempt.upstream, sent_at = attempt.sent_at](
+                            const HttpHead& head) { HandleSignals(upstream, sent_at, head); };
   handlers.on_body = [this, key](std::string&& bytes) {
     HandleResponseBody(key, std::move(bytes));
   };
@@ -82,6 +87,15 @@
   active_attempts_.emplace(key, std::move(attempt));
 }
 
+void EntryRuntime::HandleSignals(const entry::UpstreamId& upstream,
+                                 TimePoint sent_at,
+                                 const HttpHead& head) {
+  const ResponseMetadata metadata = codec_.decode_response(head);
+  if (!metadata.wrong_upstream) {
+    Apply(entry::UpstreamSignalled{upstream, sent_at, metadata.signals, false});
+  }
+}
+
 bool EntryRuntime::HandleResponseHead(entry::AttemptKey key, const HttpHead& head) {
   const auto found = active_attempts_.find(key);
   if (found == active_attempts_.end()) {
@@ -108,7 +122,8 @@
   attempt.is_event_stream = attempt.is_stream && head.status == kOk && type != nullptr &&
                             type->rfind("text/event-stream", 0) == 0;
   if (!attempt.metadata.wrong_upstream) {
-    Apply(entry::UpstreamSignalled{key, attempt.metadata.signals});
+    Apply(entry::UpstreamSignalled{attempt.upstream, attempt.sent_at, attempt.metadata.signals,
+                                   true});
   }
   return true;
 }
@@ -398,15 +413,20 @@
   call.timeout = timeout;
   call.max_body_bytes = internal::kMaxCallResponseBytes;
   ExchangeHandlers handlers;
-  handlers.on_head = [this, response](const HttpHead& head) {
+  const TimePoint sent_at = BootTime();
+  handlers.on_head = [this, response, upstream, sent_at](const HttpHead& head) {
     if (!codec_.decode_response(head).request_id.empty()) {
       // A call has no request id, so this is a late response to a caller's request.
       metrics_.Add(AddToCounter{kDroppedReplies, "other_request", 1});
       return false;
     }
     response->status = head.status;
+    HandleSignals(upstream, sent_at, head);
     return true;
   };
+  handlers.on_interim = [this, upstream, sent_at](const HttpHead& head) {
+    HandleSignals(upstream, sent_at, head);
+  };
   handlers.on_body = [response](std::string&& part) { response->body += part; };
   handlers.on_end = [response, done = std::move(done)](ExchangeResult result,
                                                        const std::string& /*reason*/) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -96,6 +96,8 @@
   /// A send of a request to an upstream, and the part of the response that has arrived.
   struct ActiveAttempt {
     entry::RequestKey request{0};
+    entry::UpstreamId upstream;
+    TimePoint sent_at{};
     HttpClient::ExchangeKey exchange{0};
     bool is_stream{false};
     HttpHead head;
@@ -123,6 +125,9 @@
   void ExecuteEffect(entry::Effect& effect);
   void StartAttempt(const entry::Send& send);
   bool HandleResponseHead(entry::AttemptKey key, const HttpHead& head);
+  /// Handles what an upstream says about itself in a response that isn't the final one of a
+  /// request.
+  void HandleSignals(const entry::UpstreamId& upstream, TimePoint sent_at, const HttpHead& head);
   void HandleResponseBody(entry::AttemptKey key, std::string&& bytes);
   void HandleStreamEvents(entry::AttemptKey key, ActiveAttempt& attempt);
   void HandleAttemptEnd(entry::AttemptKey key, ExchangeResult result, const std::string& reason);
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -242,6 +242,12 @@
     }
     constexpr int kFirstFinalStatus = 200;
     const bool is_final = parser.is_head_done() && parser.head().status >= kFirstFinalStatus;
+    if (!had_head && parser.is_head_done() && !is_final && exchange->handlers.on_interim) {
+      exchange->handlers.on_interim(parser.head());
+      if (exchange->is_finished) {
+        return;
+      }
+    }
     if (!had_head && is_final && exchange->handlers.on_head) {
       channel->skips_response = !exchange->handlers.on_head(parser.head());
       channel->must_not_reuse = channel->must_not_reuse || channel->skips_response;
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -55,6 +55,8 @@
 struct ExchangeHandlers {
   /// Returns false for a response to another request, which is skipped.
   std::function<bool(const HttpHead&)> on_head;
+  /// Called for the head of each interim response.
+  std::function<void(const HttpHead&)> on_interim;
   std::function<void(std::string&& bytes)> on_body;
   std::function<void(ExchangeResult, const std::string& reason)> on_end;
 };
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -167,6 +167,29 @@
   return limits;
 }
 
+Json::Value EncodeLeavings(const std::vector<entry::ReportedLeaving>& leaving) {
+  Json::Value rows(Json::arrayValue);
+  for (const entry::ReportedLeaving& report : leaving) {
+    Json::Value row(Json::arrayValue);
+    row.append(report.id);
+    row.append(Json::Int64{report.start_time_ms});
+    rows.append(std::move(row));
+  }
+  return rows;
+}
+
+std::optional<std::vector<entry::ReportedLeaving>> DecodeLeavings(const Json::Value& rows) {
+  constexpr Json::ArrayIndex kLeavingRowLength = 2;
+  std::vector<entry::ReportedLeaving> leaving;
+  for (const Json::Value& row : rows) {
+    if (!row.isArray() || row.size() != kLeavingRowLength || !row[0].isString()) {
+      return std::nullopt;
+    }
+    leaving.push_back({row[0].asString(), row[1].asInt64()});
+  }
+  return leaving;
+}
+
 std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
   if (!root["load"].isArray()) {
     return std::nullopt;
@@ -206,9 +229,11 @@
   }
   auto load = DecodeLoadTable(root["load"]);
   auto limits = DecodeLimits(root["limits"]);
-  if (!load || !limits) {
+  auto leaving = DecodeLeavings(root["leaving"]);
+  if (!load || !limits || !leaving) {
     return std::nullopt;
   }
+  received.leaving = std::move(*leaving);
   received.load = std::move(*load);
   received.limits = std::move(*limits);
   return received;
@@ -222,9 +247,11 @@
   sum.is_forwarded = root["forwarded"].asBool();
   auto load = DecodeLoadTable(root[kSumKey]);
   auto limits = DecodeLimits(root["limits"]);
-  if (!load || !limits || sum.cell.empty() || sum.hosts < 1) {
+  auto leaving = DecodeLeavings(root["leaving"]);
+  if (!load || !limits || !leaving || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
   }
+  sum.leaving = std::move(*leaving);
   sum.load = std::move(*load);
   sum.limits = std::move(*limits);
   constexpr Json::ArrayIndex kCellOutcomeRowLength = 4;
@@ -346,6 +373,9 @@
   if (!load.limits.empty()) {
     root["limits"] = internal::EncodeLimits(load.limits);
   }
+  if (!load.leaving.empty()) {
+    root["leaving"] = internal::EncodeLeavings(load.leaving);
+  }
   return internal::WriteCompactJson(root);
 }
 
@@ -360,6 +390,9 @@
   if (!sum.limits.empty()) {
     root["limits"] = internal::EncodeLimits(sum.limits);
   }
+  if (!sum.leaving.empty()) {
+    root["leaving"] = internal::EncodeLeavings(sum.leaving);
+  }
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "snipeturn/backpressure/pause.h"
+
 #include "platform/settings.h"
 
 namespace snipeturn::platform {
@@ -169,7 +171,7 @@
   HttpHead response;
   response.status = 200;
   CHECK_FALSE(codec.decode_response(response).signals.requests_per_second);
-  CHECK_FALSE(codec.decode_response(response).signals.has_unreadable_limit);
+  CHECK_FALSE(codec.decode_response(response).signals.unreadable);
   response.fields = {{"server-limit", ""}};
   const auto signals_of = [&](const std::string& text) {
     response.fields.back().value = text;
@@ -181,8 +183,37 @@
   for (const char* text : {"", "x", "2.5x", "-1", "-0", "inf", "nan", "1e3", "2,5", "0x1"}) {
     CAPTURE(text);
     CHECK_FALSE(signals_of(text).requests_per_second);
-    CHECK(signals_of(text).has_unreadable_limit);
+    CHECK(signals_of(text).unreadable == backpressure::SignalKind::kLimit);
+  }
+}
+
+// Guards against a pause or a notice that is missed, or taken from where none is meant.
+TEST_CASE_METHOD(WireCodecFixture, "statedPauseAndLeaving_anySyntax_decoded", "[platform]") {
+  using backpressure::SignalKind;
+  HttpHead response;
+  response.status = 503;
+  response.fields = {{"Retry-After", ""}};
+  const auto signals_of = [&](const std::string& text) {
+    response.fields.back().value = text;
+    return codec.decode_response(response).signals;
+  };
+  CHECK(signals_of("2").pause == std::chrono::seconds(2));
+  CHECK(signals_of("0.25").pause == std::chrono::milliseconds(250));
+  CHECK(signals_of("0").pause == std::chrono::milliseconds(0));
+  CHECK(signals_of("999999999999").pause == backpressure::kMaxPause);
+  for (const char* text : {"", "-1", "soon", "Wed, 21 Oct 2026 07:28:00 GMT", "1 s"}) {
+    CAPTURE(text);
+    CHECK_FALSE(signals_of(text).pause);
+    CHECK(signals_of(text).unreadable == SignalKind::kPause);
   }
+  response.status = 429;
+  CHECK_FALSE(signals_of("2").pause);
+  response.fields = {{"server-leaving", ""}};
+  CHECK(signals_of("1").is_leaving);
+  CHECK_FALSE(signals_of("0").is_leaving);
+  CHECK_FALSE(signals_of("0").unreadable);
+  CHECK_FALSE(signals_of("yes").is_leaving);
+  CHECK(signals_of("yes").unreadable == SignalKind::kLeaving);
 }
 
 TEST_CASE_METHOD(WireCodecFixture, "copyResponse_status_mapped", "[platform]") {
--- a/test/snipeturn/entry/signal_world.h
+++ b/test/snipeturn/entry/signal_world.h
@@ -39,8 +39,28 @@
     /// When each host first had a response with the present signals.
     std::map<int, TimePoint> told_at;
     std::optional<TimePoint> first_told_at;
+    /// Responses that state a pause.
+    std::vector<Arrival> refusals;
   };
 
+  static backpressure::Signals Limit(double requests_per_second) {
+    backpressure::Signals signals;
+    signals.requests_per_second = requests_per_second;
+    return signals;
+  }
+
+  static backpressure::Signals Pause(std::chrono::milliseconds duration) {
+    backpressure::Signals signals;
+    signals.pause = duration;
+    return signals;
+  }
+
+  static backpressure::Signals Leaving() {
+    backpressure::Signals signals;
+    signals.is_leaving = true;
+    return signals;
+  }
+
   explicit SignalWorld(int host_count, int server_count = 3) {
     for (int number = 0; number < server_count; ++number) {
       AddServer();
@@ -167,6 +187,76 @@
     return static_cast<int>(most);
   }
 
+  /// Most requests that a host sends from `grace` after a server had told it to pause to the end of
+  /// that pause.
+  [[nodiscard]] int MostInPause(const UpstreamId& id,
+                                std::chrono::milliseconds duration,
+                                std::chrono::milliseconds grace) const {
+    const Server& server = servers.at(id);
+    std::ptrdiff_t most = 0;
+    for (const Arrival& refusal : server.refusals) {
+      most = std::max(most, std::count_if(server.arrivals.begin(), server.arrivals.end(),
+                                          [&](const Arrival& arrival) {
+                                            return arrival.host == refusal.host &&
+                                                   arrival.at >= refusal.at + grace &&
+                                                   arrival.at <= refusal.at + duration;
+                                          }));
+    }
+    return static_cast<int>(most);
+  }
+
+  /// Arrivals from hosts that the server had told before.
+  [[nodiscard]] int ArrivalsFromTold(const UpstreamId& id) const {
+    const Server& server = servers.at(id);
+    return static_cast<int>(std::count_if(
+        server.arrivals.begin(), server.arrivals.end(), [&server](const Arrival& arrival) {
+          const auto told = server.told_at.find(arrival.host);
+          return told != server.told_at.end() && arrival.at > told->second;
+        }));
+  }
+
+  /// Most arrivals at a server in any span since a time.
+  [[nodiscard]] int MostArrivalsWithin(const UpstreamId& id,
+                                       std::chrono::milliseconds span,
+                                       TimePoint since) const {
+    std::deque<TimePoint> window;
+    std::size_t most = 0;
+    for (const Arrival& arrival : servers.at(id).arrivals) {
+      if (arrival.at < since) {
+        continue;
+      }
+      window.push_back(arrival.at);
+      while (arrival.at - window.front() > span) {
+        window.pop_front();
+      }
+      most = std::max(most, window.size());
+    }
+    return static_cast<int>(most);
+  }
+
+  /// Delivers an event to all hosts.
+  void DeliverToAll(const Event& event) {
+    for (int host = 0; host < static_cast<int>(hosts_.size()); ++host) {
+      Apply(host, event);
+    }
+  }
+
+  /// The store lists a server as its heartbeat reports it.
+  void ListServer(const UpstreamId& id) {
+    UpstreamEntry& entry = servers.at(id).entry;
+    entry.sequence += 100;
+    DeliverToAll(UpstreamListed{entry, ++offset_});
+  }
+
+  /// A server's process starts anew under the same id.
+  void RestartServer(const UpstreamId& id) {
+    Server& server = servers.at(id);
+    server.entry.start_time_ms += 100000;
+    server.signals = {};
+    server.told_at.clear();
+    ListServer(id);
+  }
+
   [[nodiscard]] int ArrivalsSince(const UpstreamId& id, TimePoint since) const {
     const auto& arrivals = servers.at(id).arrivals;
     return static_cast<int>(
@@ -201,6 +291,7 @@
   struct OpenAttempt {
     int host{0};
     UpstreamId upstream;
+    TimePoint sent_at{};
     TimePoint due{};
   };
 
@@ -235,11 +326,14 @@
       const OpenAttempt attempt = found->second;
       attempts_.erase(found);
       Server& server = servers.at(attempt.upstream);
-      if (server.signals.requests_per_second) {
+      if (server.signals.pause) {
+        server.refusals.push_back({now, attempt.host});
+      }
+      if (server.signals.requests_per_second || server.signals.is_leaving) {
         server.told_at.emplace(attempt.host, now);
         server.first_told_at = server.first_told_at.value_or(now);
       }
-      Apply(attempt.host, UpstreamSignalled{key, server.signals});
+      Apply(attempt.host, UpstreamSignalled{attempt.upstream, attempt.sent_at, server.signals});
       AttemptEnded ended;
       ended.attempt = key;
       ended.status = server.refuses ? 503 : 200;
@@ -285,7 +379,7 @@
     for (const Effect& effect : effects) {
       if (const auto* send = std::get_if<Send>(&effect)) {
         servers.at(send->upstream).arrivals.push_back({now, number});
-        attempts_[send->attempt] = {number, send->upstream, now + kResponseTime};
+        attempts_[send->attempt] = {number, send->upstream, now, now + kResponseTime};
       } else if (const auto* cancel = std::get_if<CancelAttempt>(&effect)) {
         attempts_.erase(cancel->attempt);
       } else if (std::holds_alternative<Relay>(effect)) {
@@ -312,6 +406,7 @@
   std::map<std::pair<int, RequestKey>, TimePoint> asked_at_;
   std::uint64_t requested_{0};
   std::uint64_t incarnations_{0};
+  std::uint64_t offset_{1000};
   double due_requests_{0};
 };
 
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -31,7 +31,7 @@
   CAPTURE(hosts, limit);
   SignalWorld world(hosts);
   world.Run(2s, 200);
-  world.Signal("server-1", {limit, false});
+  world.Signal("server-1", SignalWorld::Limit(limit));
   world.Run(16s, 200);
   CHECK(Most(world, "server-1") <= Allowed(limit));
   CHECK(world.refused.empty());
@@ -48,7 +48,7 @@
   SignalWorld world(hosts);
   world.Run(2s, 200);
   for (const char* id : {"server-1", "server-2", "server-3"}) {
-    world.Signal(id, {limit, false});
+    world.Signal(id, SignalWorld::Limit(limit));
   }
   world.Run(4s, 200);
   world.ResetCounts();
@@ -78,7 +78,7 @@
   SignalWorld world(hosts);
   world.Run(2s, 200);
   const int usual = world.ArrivalsSince("server-1", world.now - 2s);
-  world.Signal("server-1", {2.5, false});
+  world.Signal("server-1", SignalWorld::Limit(2.5));
   world.Run(8s, 200);
   world.Signal("server-1", {});
   world.Run(2s, 200);
@@ -89,7 +89,7 @@
 // Guards against a limit that holds for ever although nobody hears the upstream any more.
 TEST_CASE_METHOD(LimitFixture, "limit_notRepeated_ends", "[entry_limit]") {
   SignalWorld world(3);
-  world.Signal("server-1", {2.5, false});
+  world.Signal("server-1", SignalWorld::Limit(2.5));
   world.Run(3s, 60);
   REQUIRE(world.state(0).upstreams.at("server-1").rate_limit.requests_per_second == 2.5);
   world.Run(11s, 0);
@@ -102,7 +102,7 @@
   constexpr double kLimit = 2.5;
   SignalWorld world(kHosts);
   world.Run(2s, 200);
-  world.Signal("server-1", {kLimit, false});
+  world.Signal("server-1", SignalWorld::Limit(kLimit));
   SECTION("hosts restart in turn") {
     world.Run(6s, 200);
     for (int host = 0; host < 12; ++host) {
@@ -123,28 +123,26 @@
 // Guards against a response that was sent before the limit was stated and ends it.
 TEST_CASE_METHOD(EntryFixture, "limit_olderResponseWithoutIt_staysInForce", "[entry_limit]") {
   AddUpstream("plain-1", "plain");
-  const auto send = [this] {
-    ReceiveRequest("/look/a");
-    return EffectsOf<Send>().at(0).attempt;
-  };
-  const AttemptKey older = send();
+  backpressure::Signals unreadable;
+  unreadable.unreadable = backpressure::SignalKind::kLimit;
+  const TimePoint older = now;
   now += 10ms;
-  const AttemptKey newer = send();
+  const TimePoint newer = now;
   const auto& limit = state.upstreams.at("plain-1").rate_limit.requests_per_second;
   now += 10ms;
-  Apply(UpstreamSignalled{newer, {5.0, false}});
+  Apply(UpstreamSignalled{"plain-1", newer, SignalWorld::Limit(5.0)});
   CHECK(limit == 5.0);
-  Apply(UpstreamSignalled{older, {}});
+  Apply(UpstreamSignalled{"plain-1", older, {}});
   CHECK(limit == 5.0);
   now += 1s;
-  const AttemptKey later = send();
+  const TimePoint later = now;
   now += 10ms;
   SECTION("unreadable") {
-    Apply(UpstreamSignalled{later, {std::nullopt, true}});
+    Apply(UpstreamSignalled{"plain-1", later, unreadable});
     CHECK(limit == 5.0);
   }
   SECTION("not stated") {
-    Apply(UpstreamSignalled{later, {}});
+    Apply(UpstreamSignalled{"plain-1", later, {}});
     CHECK_FALSE(limit);
   }
 }
@@ -153,7 +151,7 @@
 TEST_CASE_METHOD(EntryFixture, "limit_usedUp_noHedgeOrRetry", "[entry_limit]") {
   AddUpstream("plain-1", "plain");
   ReceiveRequest("/look/a");
-  Apply(UpstreamSignalled{EffectsOf<Send>().at(0).attempt, {0.5, false}});
+  Apply(UpstreamSignalled{"plain-1", now, SignalWorld::Limit(0.5)});
   AddUpstream("plain-2", "plain");
   state.upstreams.at("plain-2").rate_limit = state.upstreams.at("plain-1").rate_limit;
   state.upstreams.at("plain-2").rate_limit.tokens = 0;
@@ -167,11 +165,204 @@
 TEST_CASE_METHOD(LimitFixture, "upstream_statesZero_askedFromTimeToTime", "[entry_limit]") {
   SignalWorld world(9);
   world.Run(2s, 200);
-  world.Signal("server-1", {0.0, false});
+  world.Signal("server-1", SignalWorld::Limit(0.0));
   world.Run(60s, 200);
   CHECK(Most(world, "server-1") <= Allowed(0));
   CHECK(world.ArrivalsSince("server-1", world.now - 40s) >= 1);
 }
 
+class PauseFixture {
+ public:
+  static constexpr std::chrono::milliseconds kGrace{500};
+
+  static void BeginPauses(SignalWorld& world,
+                          const UpstreamId& id,
+                          std::chrono::milliseconds time) {
+    world.Signal(id, SignalWorld::Pause(time));
+    world.servers.at(id).refuses = true;
+  }
+
+  static void EndPauses(SignalWorld& world, const UpstreamId& id) {
+    world.Signal(id, {});
+    world.servers.at(id).refuses = false;
+  }
+};
+
+// Guards against requests for an upstream that refused with a time for which it wants none.
+TEST_CASE_METHOD(PauseFixture, "upstream_pauses_atMostTwoRequestsInPause", "[entry_pause]") {
+  const int hosts = GENERATE(1, 9, 40);
+  const std::chrono::milliseconds pause = GENERATE(700ms, 3000ms, 10000ms);
+  CAPTURE(hosts, pause);
+  SignalWorld world(hosts);
+  world.Run(2s, 200);
+  BeginPauses(world, "server-1", pause);
+  world.Run(20s, 200);
+  CHECK(world.MostInPause("server-1", pause, kGrace) <= 2);
+  CHECK(world.ArrivalsSince("server-1", world.now - 1s) <= hosts * 2);
+  CHECK(world.refused.empty());
+  EndPauses(world, "server-1");
+  world.Run(pause + 4s, 200);
+  CHECK(world.ArrivalsSince("server-1", world.now - 1s) >= 15);
+}
+
+// Guards against callers that wait until their deadline while every upstream pauses, and against
+// hosts that all come back at the same instant.
+TEST_CASE_METHOD(PauseFixture, "upstreams_allPause_refusedAtOnceThenGradual", "[entry_pause]") {
+  const int hosts = GENERATE(1, 9, 40);
+  CAPTURE(hosts);
+  SignalWorld world(hosts);
+  world.Run(2s, 200);
+  for (const char* id : {"server-1", "server-2", "server-3"}) {
+    BeginPauses(world, id, 4s);
+  }
+  world.Run(1500ms, 200);
+  for (const char* id : {"server-1", "server-2", "server-3"}) {
+    EndPauses(world, id);
+  }
+  world.ResetCounts();
+  world.Run(1s, 200);
+  CHECK(world.answered < 20);
+  REQUIRE(world.refused.size() > 150);
+  for (const Refuse& refuse : world.refused) {
+    CHECK(refuse.status == 503);
+    REQUIRE(refuse.retry_after);
+    CHECK(*refuse.retry_after >= 100ms);
+  }
+  for (const std::chrono::milliseconds after : world.refused_after) {
+    CHECK(after <= 1500ms);
+  }
+  world.Run(5s, 200);
+  // Less than half of the slots within the time of a response.
+  CHECK(world.MostArrivalsWithin("server-1", 30ms, world.now - 5s) < 30);
+  world.ResetCounts();
+  world.Run(2s, 200);
+  CHECK(world.answered >= 380);
+}
+
+class LeavingFixture {};
+
+// Guards against new work for an upstream that says in its responses that it is leaving, also from
+// hosts that it hasn't told.
+TEST_CASE_METHOD(LeavingFixture, "upstream_saysLeaving_noNewWork", "[entry_leaving]") {
+  const int hosts = GENERATE(1, 9, 40, 150);
+  CAPTURE(hosts);
+  SignalWorld world(hosts);
+  world.Run(2s, 200);
+  world.Signal("server-1", SignalWorld::Leaving());
+  world.Run(1s, 200);
+  const TimePoint since = world.now;
+  // The store lists it as serving until it is gone, and longer than it takes to be forgotten.
+  world.Run(12s, 200, [&] {
+    if (ToMilliseconds(world.now - since).count() % 1000 == 0) {
+      world.ListServer("server-1");
+    }
+  });
+  CHECK(world.ArrivalsFromTold("server-1") == 0);
+  CHECK(world.ArrivalsSince("server-1", since) == 0);
+  CHECK(world.refused.empty());
+  SECTION("its entry goes and comes back") {
+    world.DeliverToAll(UpstreamUnlisted{"server-1", 5000, UpdateSource::kStore, false});
+    world.Run(500ms, 200);
+    world.DeliverToAll(UpstreamListed{world.servers.at("server-1").entry, 5001});
+    world.Run(2s, 200);
+    CHECK(world.ArrivalsSince("server-1", since) == 0);
+  }
+  SECTION("another process takes its place") {
+    world.RestartServer("server-1");
+    world.Run(2s, 200);
+    CHECK(world.ArrivalsSince("server-1", since) > 30);
+  }
+}
+
+// Guards against a host that can't hear others or the store and goes on sending.
+TEST_CASE_METHOD(LeavingFixture, "upstream_saysLeaving_isolatedHostStops", "[entry_leaving]") {
+  SignalWorld world(9);
+  world.isolated = {0, 3, 8};
+  world.Run(2s, 200);
+  world.Signal("server-1", SignalWorld::Leaving());
+  world.Run(5s, 200);
+  CHECK(world.ArrivalsFromTold("server-1") == 0);
+}
+
+// Guards against an upstream that says wrongly that it is leaving and is out for ever.
+TEST_CASE_METHOD(EntryFixture,
+                 "leaving_saidWronglyAndListed_servesAfterMinutes",
+                 "[entry_leaving]") {
+  UpstreamEntry entry = AddUpstream("plain-1", "plain");
+  Apply(UpstreamSignalled{"plain-1", now, SignalWorld::Leaving()});
+  const auto list = [&] {
+    entry.sequence = ++sequence;
+    Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+    ConfirmStore();
+    ReceiveRequest("/look/a");
+    return EffectsOf<Send>().size();
+  };
+  CHECK(list() == 0);
+  now += 100s;
+  CHECK(list() == 0);
+  now += 21s;
+  CHECK(list() == 1);
+}
+
+// Guards against callers that wait for upstreams all of which are leaving, and against a service
+// that stays out when one comes.
+TEST_CASE_METHOD(LeavingFixture,
+                 "upstreams_allSayLeaving_refusedAtOnceUntilOneComes",
+                 "[entry_leaving]") {
+  SignalWorld world(9);
+  world.Run(2s, 200);
+  for (const char* id : {"server-1", "server-2", "server-3"}) {
+    world.Signal(id, SignalWorld::Leaving());
+  }
+  world.Run(1s, 200);
+  world.ResetCounts();
+  world.Run(1s, 200);
+  CHECK(world.answered == 0);
+  REQUIRE(world.refused.size() > 190);
+  for (const std::chrono::milliseconds after : world.refused_after) {
+    CHECK(after <= 20ms);
+  }
+  for (const Refuse& refuse : world.refused) {
+    CHECK(refuse.status == 503);
+    CHECK(refuse.retry_after.value_or(0ms) >= 500ms);
+  }
+  world.RestartServer("server-2");
+  world.ResetCounts();
+  world.Run(2s, 200);
+  CHECK(world.answered >= 380);
+}
+
+// Guards against a generation that is lost because its engine said only in a response that it
+// leaves.
+TEST_CASE_METHOD(EntryFixture, "engine_saysLeaving_generationsMigrate", "[entry_leaving]") {
+  const UpstreamEntry source = AddUpstream("engine-1", "engines");
+  StartStream(5);
+  AddUpstream("engine-2", "engines");
+  SECTION("to this host") {
+    Apply(UpstreamSignalled{"engine-1", now, SignalWorld::Leaving()});
+    REQUIRE(EffectsOf<StartCopy>().size() == 1);
+    CHECK(MakeLoadBroadcast(state, now).leaving.size() == 1);
+  }
+  SECTION("in a response to a call") {
+    Apply(UpstreamSignalled{"engine-1", now, SignalWorld::Leaving(), false});
+    REQUIRE(EffectsOf<StartCopy>().size() == 1);
+  }
+  SECTION("to another host") {
+    PeerLoadReceived load;
+    load.host = "host-2";
+    load.leaving = {{"engine-1", source.start_time_ms}};
+    Apply(load);
+    REQUIRE(EffectsOf<StartCopy>().size() == 1);
+    CHECK(MakeLoadBroadcast(state, now).leaving.empty());
+  }
+  SECTION("another incarnation") {
+    PeerLoadReceived load;
+    load.host = "host-2";
+    load.leaving = {{"engine-1", source.start_time_ms - 1}};
+    Apply(load);
+    CHECK(EffectsOf<StartCopy>().empty());
+  }
+}
+
 }  // namespace
 }  // namespace snipeturn::entry
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -110,6 +110,33 @@
   CHECK(RunUntil([&] { return migration() && migration()->handle == "h-1"; }));
 }
 
+// Guards against a notice that is missed because it comes in an interim response or a refusal.
+TEST_CASE_METHOD(ResponseFixture, "response_saysLeaving_reachesState", "[loop]") {
+  const std::string head = GENERATE(
+      "HTTP/1.1 100 Continue\r\n", "HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n",
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Stamp: s\r\nContent-Length: 9\r\n");
+  tcp::socket& upstream = Send("r1", "/book/a");
+  Write(upstream, head + "Server-Leaving: 1\r\n\r\n");
+  CHECK(RunUntil([this] {
+    return runtime.state().upstreams.at("plain-1").phase == entry::UpstreamPhase::kLeaving;
+  }));
+}
+
+// Guards against a pause that the next request breaks.
+TEST_CASE_METHOD(ResponseFixture, "upstream_refusesWithRetryAfter_paused", "[loop]") {
+  tcp::socket& upstream = Send("r1", "/book/a");
+  Write(upstream,
+        "HTTP/1.1 503 No\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nRetry-After: 5\r\n"
+        "Content-Length: 0\r\n\r\n");
+  CHECK(ReadUntil(caller, "not_run").find("503") != std::string::npos);
+  Write(caller, RequestText("r2", "/book/a"));
+  const std::string response = ReadUntil(caller, "not_run");
+  CHECK(response.find("503") != std::string::npos);
+  CAPTURE(response);
+  CHECK(response.find("upstreams_deferred") != std::string::npos);
+  CHECK(response.find("Retry-After") != std::string::npos);
+}
+
 // Guards against streams that are cut because their server marks the end by closing.
 TEST_CASE_METHOD(ResponseFixture, "stream_withoutLengthClosedInOrder_complete", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -147,20 +147,28 @@
   }
 }
 
-TEST_CASE("statedLimits_roundTrip_preserved", "[loop]") {
+TEST_CASE("upstreamSignals_roundTrip_preserved", "[loop]") {
   const std::vector<entry::ReportedLimit> limits{{"plain-1", 2.5, std::chrono::milliseconds(40)},
                                                  {"plain-2", std::nullopt, {}},
                                                  {"plain-3", 0.0, {}}};
   entry::PeerLoadReceived load;
   load.limits = limits;
+  load.leaving = {{"plain-4", 17}};
   entry::CellLoadReceived sum;
   sum.cell = "zone-a";
   sum.hosts = 3;
   sum.limits = limits;
+  sum.leaving = load.leaving;
   const auto loads = DecodePeerMessage(EncodeLoad(load));
   const auto sums = DecodePeerMessage(EncodeCellLoad("host-1", sum));
   REQUIRE(loads);
   REQUIRE(sums);
+  for (const auto& decoded : {std::get<entry::PeerLoadReceived>(loads->content).leaving,
+                              std::get<entry::CellLoadReceived>(sums->content).leaving}) {
+    REQUIRE(decoded.size() == 1);
+    CHECK(decoded[0].id == "plain-4");
+    CHECK(decoded[0].start_time_ms == 17);
+  }
   for (const auto& decoded : {std::get<entry::PeerLoadReceived>(loads->content).limits,
                               std::get<entry::CellLoadReceived>(sums->content).limits}) {
     REQUIRE(decoded.size() == 3);
