Check pauses and notices of upstreams in the entry fuzz test

Oracles: no request that is sent later than the drain period after a process heard the notice, and at most two requests in a pause, with restarts and pauses of hosts excused as on the users' pages.

--- a/test/entry_fuzz/constants.h
+++ b/test/entry_fuzz/constants.h
@@ -34,6 +34,10 @@
 inline constexpr std::size_t kMaxDeferredMessages = 400;
 /// Longer than the route's timeout.
 inline constexpr std::chrono::milliseconds kHangDuration{12000};
+/// Time after which a process must keep a pause that an upstream asked for, and the requests that
+/// may arrive in it all the same.
+inline constexpr std::chrono::milliseconds kPauseGrace{500};
+inline constexpr int kMaxRequestsInPause = 2;
 inline constexpr int kSlots = 24;
 /// Upstreams that may run one request whose stream is resumable.
 inline constexpr int kMaxRuns = 2;
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -86,6 +86,11 @@
       {"restart upstream", 3, [](World& w, int first, int) { w.Restart(first); }},
       {"fault", 4, [](World& w, int first, int second) { w.SetFault(first, second % 6); }},
       {"repair", 6, [](World& w, int first, int) { w.SetFault(first, 0); }},
+      {"ask for a pause", 3,
+       [](World& w, int first, int second) {
+         w.SetPause(first, milliseconds{600 + second * 100});
+       }},
+      {"end a pause", 6, [](World& w, int first, int) { w.SetPause(first, milliseconds{0}); }},
   };
   return kActions;
 }
--- a/test/entry_fuzz/world.cc
+++ b/test/entry_fuzz/world.cc
@@ -263,6 +263,7 @@
 
 void World::Pause(int number) {
   hosts_[number].is_paused = hosts_[number].state.has_value();
+  hosts_[number].paused_at = now_;
 }
 
 void World::Continue(int number) {
@@ -327,6 +328,7 @@
   Configure();
   for (auto& [id, upstream] : upstreams_) {
     upstream.fault = 0;
+    upstream.signals.pause.reset();
   }
   AddUpstream(true);
   AddUpstream(false);
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -10,6 +10,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "snipeturn/entry/effect.h"
@@ -61,6 +62,8 @@
   /// Crashes an upstream and restarts it under the same id.
   void Restart(int number);
   void SetFault(int number, int fault);
+  /// Makes an upstream refuse all requests and ask for a pause; zero ends that.
+  void SetPause(int number, std::chrono::milliseconds pause);
 
   /// @brief Repairs everything and checks that every host serves again.
   void CheckRecovery();
@@ -117,6 +120,7 @@
     std::string generation;
     std::uint64_t arrived{0};
     bool is_cancelled{false};
+    TimePoint sent_at{};
   };
 
   struct Host {
@@ -126,6 +130,7 @@
     /// Number of the host's current process.
     int incarnation{0};
     bool is_paused{false};
+    TimePoint paused_at{};
     bool is_partitioned_from_store{false};
     bool is_partitioned_from_peers{false};
     /// Last time at which the host or the store was degraded.
@@ -177,12 +182,25 @@
     bool is_final{false};
   };
 
+  /// A time for which an upstream wants at most two requests from a process.
+  struct StatedPause {
+    TimePoint from{};
+    TimePoint until{};
+    int requests{0};
+  };
+
+  /// A process of a host: number and incarnation.
+  using ProcessId = std::pair<int, int>;
+
   struct FakeUpstream {
     UpstreamEntry entry;
     bool is_engine{false};
     bool is_alive{true};
     int fault{0};
     std::optional<TimePoint> left_at;
+    backpressure::Signals signals;
+    std::map<ProcessId, TimePoint> told_leaving_at;
+    std::map<ProcessId, std::vector<StatedPause>> pauses;
     std::map<std::uint64_t, Job> jobs;
   };
 
@@ -225,6 +243,10 @@
                 int incarnation,
                 const Send& send,
                 CallerId caller);
+  /// Sends what an upstream says about itself with a response to a request.
+  void SendSignals(const FakeUpstream& upstream, int host, int incarnation, AttemptKey attempt);
+  /// Checks a request against what its host has heard from the upstream.
+  void CheckSignalsKept(FakeUpstream& upstream, int host, int incarnation, const Caller& caller);
   void CheckRequestAllowed(const FakeUpstream& upstream, int host, const Caller& caller);
   void ProduceEvent(const UpstreamId& id, std::int64_t start_time_ms, std::uint64_t job);
   void RespondToJob(const UpstreamId& id, std::int64_t start_time_ms, std::uint64_t job);
--- a/test/entry_fuzz/world_upstreams.cc
+++ b/test/entry_fuzz/world_upstreams.cc
@@ -55,10 +55,15 @@
     return;
   }
   AddUpstream(upstream.is_engine);
+  upstream.signals.is_leaving = Random(2) == 0;
   upstream.entry.leaving = true;
   upstream.entry.sequence += 1;
-  PublishEntry(upstream);
-  if (is_store_up_ && write_delay_ == milliseconds{0}) {
+  // Some upstreams never report to the store that they are leaving.
+  if (!upstream.signals.is_leaving || Random(2) == 0) {
+    PublishEntry(upstream);
+  }
+  const bool is_published = !list_.records.empty() && list_.records.back().key == upstream.entry.id;
+  if (is_store_up_ && is_published && write_delay_ == milliseconds{0}) {
     upstream.left_at = now_;
   }
   const UpstreamId id = upstream.entry.id;
@@ -126,6 +131,9 @@
   TerminateUpstream(upstream);
   upstream.is_alive = true;
   upstream.left_at.reset();
+  upstream.signals = {};
+  upstream.told_leaving_at.clear();
+  upstream.pauses.clear();
   upstream.entry.leaving = false;
   upstream.entry.start_time_ms = ++next_start_time_ms_;
   upstream.entry.sequence = 1;
@@ -137,4 +145,10 @@
   alive[number % alive.size()]->fault = fault;
 }
 
+void World::SetPause(int number, milliseconds pause) {
+  const std::vector<FakeUpstream*> alive = LiveUpstreams();
+  backpressure::Signals& signals = alive[number % alive.size()]->signals;
+  signals.pause = pause > milliseconds{0} ? std::optional(pause) : std::nullopt;
+}
+
 }  // namespace snipeturn::entry
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -32,6 +32,7 @@
   }
   IncomingResponse incoming;
   incoming.caller = caller->second;
+  incoming.sent_at = now_;
   host.incoming[send.attempt] = incoming;
   const Caller& requester = callers_.at(caller->second);
   const auto revoked = revoked_at_.find(requester.key);
@@ -86,15 +87,73 @@
   FakeUpstream* upstream = UpstreamAt(send.endpoint);
   if (upstream == nullptr) {
     EndAttempt(number, incarnation, send.attempt, AttemptResult::kUnsent);
-  } else if (upstream->entry.id != send.upstream) {
+    return;
+  }
+  if (upstream->entry.id != send.upstream) {
     EndAttempt(number, incarnation, send.attempt, AttemptResult::kWrongUpstream, 421);
-  } else if (upstream->fault == kRefusesRequests) {
+    return;
+  }
+  CheckSignalsKept(*upstream, number, incarnation, callers_.at(caller));
+  SendSignals(*upstream, number, incarnation, send.attempt);
+  if (upstream->fault == kRefusesRequests || upstream->signals.pause) {
     EndAttempt(number, incarnation, send.attempt, AttemptResult::kNotExecuted, 503);
   } else {
     StartJob(*upstream, number, incarnation, send, caller);
   }
 }
 
+void World::SendSignals(const FakeUpstream& upstream,
+                        int number,
+                        int incarnation,
+                        AttemptKey attempt) {
+  const UpstreamId id = upstream.entry.id;
+  const std::int64_t start_time_ms = upstream.entry.start_time_ms;
+  const backpressure::Signals signals = upstream.signals;
+  ScheduleAfter(Delay(), [this, id, start_time_ms, signals, number, incarnation, attempt] {
+    RunOnProcess(
+        number, incarnation, [this, id, start_time_ms, signals, number, incarnation, attempt] {
+          const auto incoming = hosts_[number].incoming.find(attempt);
+          if (incoming == hosts_[number].incoming.end() || incoming->second.is_cancelled) {
+            return;
+          }
+          FakeUpstream& told = upstreams_.at(id);
+          if (told.entry.start_time_ms == start_time_ms) {
+            const ProcessId process{number, incarnation};
+            if (signals.is_leaving) {
+              told.told_leaving_at.emplace(process, now_);
+            }
+            if (signals.pause) {
+              told.pauses[process].push_back({now_ + kPauseGrace, now_ + *signals.pause, 0});
+            }
+          }
+          ApplyEvent(number, UpstreamSignalled{id, incoming->second.sent_at, signals, true});
+        });
+  });
+}
+
+void World::CheckSignalsKept(FakeUpstream& upstream,
+                             int number,
+                             int incarnation,
+                             const Caller& caller) {
+  const Host& host = hosts_[number];
+  const ProcessId process{number, incarnation};
+  const auto told = upstream.told_leaving_at.find(process);
+  if (told != upstream.told_leaving_at.end() && host.paused_at < told->second &&
+      caller.sent_at > told->second + kDrainPeriod) {
+    ReportViolation(
+        fmt::format("DRAIN: {} got a request from {} {} ms after it said that it leaves",
+                    upstream.entry.id, host.name, ToMilliseconds(now_ - told->second).count()));
+  }
+  for (StatedPause& pause : upstream.pauses[process]) {
+    const bool is_inside = now_ >= pause.from && now_ <= pause.until;
+    pause.requests += is_inside ? 1 : 0;
+    if (is_inside && pause.requests > kMaxRequestsInPause && host.paused_at < pause.from) {
+      ReportViolation(fmt::format("BUDGET: {} got {} requests from {} in a pause that it asked for",
+                                  upstream.entry.id, pause.requests, host.name));
+    }
+  }
+}
+
 void World::CheckRequestAllowed(const FakeUpstream& upstream, int number, const Caller& caller) {
   const Host& host = hosts_[number];
   const auto evacuated = evacuated_at_.find(upstream.entry.zone);
