Don't send a generation back to a source in an evacuated zone

Cause: going back checks the drain period of the source only. An evacuated zone counts like it now; the target is tried again.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -107,11 +107,12 @@
                Resume{migration.source_endpoint, migration.handle, request.events});
 }
 
-/// Returns whether the generation may resume at its source. A leaving engine must get no requests,
-/// resumes included, after its drain period.
+/// Returns whether the generation may resume at its source. An engine in an evacuated zone, or a
+/// leaving one after its drain period, must get no requests, resumes included.
 bool CanResumeAtSource(const EventScope& scope, const Migration& migration) {
   const auto source = scope.state.upstreams.find(migration.source);
   return source != scope.state.upstreams.end() &&
+         scope.state.evacuated_zones.count(source->second.entry.zone) == 0 &&
          (source->second.phase != UpstreamPhase::kLeaving ||
           scope.now - source->second.phase_since <
               scope.state.options.bounds.drain - kMaxDeliveryDelay);
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -56,6 +56,28 @@
   }
 }
 
+// Guards against a request to an engine in an evacuated zone: a generation that was running there
+// goes back to its source when its target refuses it (entry fuzz test, seed 5: rule EVAC).
+TEST_CASE_METHOD(MigrationFixture, "resume_sourceZoneEvacuated_notSentBack", "[entry]") {
+  target = AddUpstream("engine-3", "engines", "zone-b");
+  Apply(EvacuationRead{"zone-a", true});
+  const StartCopy first = ReceiveTerminationNotice();
+  REQUIRE(first.target == target.endpoint);
+  EndCopy(first, CopyStatus::kCopied, 5);
+  const StartCopy last = EffectsOf<StartCopy>().at(0);
+  REQUIRE(last.final);
+  SECTION("the target refuses the request") {
+    EndCopy(last, CopyStatus::kCopied, 5);
+    EndAttempt(EffectsOf<Send>().at(0).attempt, AttemptResult::kNotExecuted, 503);
+    REQUIRE(EffectsOf<Send>().size() == 1);
+    CHECK(EffectsOf<Send>().at(0).upstream == "engine-3");
+  }
+  SECTION("the target has no room") {
+    EndCopy(last, CopyStatus::kNoRoom, 5);
+    CHECK(EffectsOf<Send>().empty());
+  }
+}
+
 // Guards against a late copy of an engine's refusal that is taken for its response to the same
 // request, sent there again on the same connection: the generation would go on twice.
 TEST_CASE_METHOD(MigrationFixture, "resume_sentToSameUpstreamAgain_onNewConnection", "[entry]") {
