Remove upstreams that said that they leave like others, and keep their notices

Upstreams that are leaving by their own statement were kept in the table for two minutes, so that a record of the store could not bring them back; meanwhile they counted in the service's mean of responses and failures. The notice is kept by itself now: an entry of the same incarnation that is listed later begins as leaving. upstream_saysLeaving_noNewWork covers it.

--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -111,6 +111,12 @@
   StoreView store;
   int hosts{1};
   UpstreamTable upstreams;
+  /// An incarnation that said that it is leaving and was removed. The store may still list it.
+  struct LeftUpstream {
+    std::int64_t start_time_ms{0};
+    TimePoint said_at{};
+  };
+  std::map<UpstreamId, LeftUpstream> left_upstreams;
   /// Number of the last update of this host.
   std::uint64_t last_update{0};
   struct RecentUpdate {
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -177,6 +177,10 @@
     Upstream new_upstream;
     new_upstream.entry = entry;
     new_upstream.phase_since = scope.now;
+    const auto left = state.left_upstreams.find(entry.id);
+    if (left != state.left_upstreams.end() && left->second.start_time_ms == entry.start_time_ms) {
+      new_upstream.said_leaving_at = left->second.said_at;
+    }
     found = state.upstreams.insert_or_assign(entry.id, new_upstream).first;
     Log(scope, log_events::kUpstreamListed,
         fmt::format("upstream={} service={} address={}:{} zone={} slots={} cold_ms={} born={}",
@@ -313,9 +317,7 @@
       }
       is_pending = true;
     } else if (upstream.phase == UpstreamPhase::kLeaving) {
-      // An entry of the same incarnation that is listed later would bring the upstream back.
-      const bool is_kept = !IsLeavingOutdated(upstream, scope.now);
-      if (!is_kept && used.count(id) == 0 && scope.now - upstream.phase_since >= kRemoveAfter) {
+      if (used.count(id) == 0 && scope.now - upstream.phase_since >= kRemoveAfter) {
         removed.push_back(id);
       } else {
         is_pending = true;
@@ -323,6 +325,7 @@
     }
   }
   for (const UpstreamId& id : removed) {
+    RememberLeaving(scope, state.upstreams.at(id));
     state.upstreams.erase(id);
     scope.effects.push_back(ForgetUpstream{id});
     Log(scope, log_events::kUpstreamGone, fmt::format("upstream={}", id));
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -128,6 +129,17 @@
   return !upstream.said_leaving_at || now - *upstream.said_leaving_at > kMaxLeavingTime;
 }
 
+void RememberLeaving(EventScope& scope, const Upstream& upstream) {
+  auto& left = scope.state.left_upstreams;
+  for (auto entry = left.begin(); entry != left.end();) {
+    const bool is_outdated = scope.now - entry->second.said_at > kMaxLeavingTime;
+    entry = is_outdated ? left.erase(entry) : std::next(entry);
+  }
+  if (!IsLeavingOutdated(upstream, scope.now)) {
+    left[upstream.entry.id] = {upstream.entry.start_time_ms, *upstream.said_leaving_at};
+  }
+}
+
 void AdoptReportedLimits(EventScope& scope, const std::vector<ReportedLimit>& limits) {
   for (const ReportedLimit& limit : limits) {
     const auto upstream = scope.state.upstreams.find(limit.id);
--- a/src/snipeturn/entry/upstream_signals.h
+++ b/src/snipeturn/entry/upstream_signals.h
@@ -45,6 +45,9 @@
 ///     it is leaving: it said so long ago, so the statement was wrong.
 [[nodiscard]] bool IsLeavingOutdated(const Upstream& upstream, TimePoint now) noexcept;
 
+/// @brief Keeps the notice of an upstream that is removed, as long as the notice holds.
+void RememberLeaving(EventScope& scope, const Upstream& upstream);
+
 /// @brief Ends a limit that the upstream has not repeated for long.
 void EndExpiredLimit(EventScope& scope, Upstream& upstream);
 
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <vector>
 
 #include "snipeturn/entry/signal_world.h"
 
@@ -132,6 +133,7 @@
   now += 10ms;
   Apply(UpstreamSignalled{"plain-1", newer, SignalWorld::Limit(5.0)});
   CHECK(limit == 5.0);
+  now += 10ms;
   Apply(UpstreamSignalled{"plain-1", older, {}});
   CHECK(limit == 5.0);
   now += 1s;
@@ -239,6 +241,40 @@
   CHECK(world.answered >= 380);
 }
 
+// Guards against callers that pay for upstreams which pause again and again: by refusals, by sends
+// in vain that use up the budget of retries, or by a service that stays slow afterwards.
+TEST_CASE_METHOD(PauseFixture,
+                 "halfOfUpstreams_pauseAgainAndAgain_callersServed",
+                 "[entry_pause]") {
+  constexpr int kHosts = 9;
+  SignalWorld world(kHosts, 6);
+  const std::vector<UpstreamId> pausing{"server-1", "server-2", "server-3"};
+  world.Run(2s, 300);
+  world.ResetCounts();
+  const TimePoint begin = world.now;
+  world.Run(30s, 300, [&] {
+    const auto phase = ToMilliseconds(world.now - begin).count() % 4000;
+    for (const UpstreamId& id : pausing) {
+      if (phase == 0) {
+        BeginPauses(world, id, 2s);
+      } else if (phase == 1500) {
+        EndPauses(world, id);
+      }
+    }
+  });
+  std::size_t in_vain = 0;
+  for (const UpstreamId& id : pausing) {
+    EndPauses(world, id);
+    in_vain += world.servers.at(id).refusals.size();
+  }
+  CAPTURE(world.answered, world.refused.size(), in_vain);
+  CHECK(world.answered >= 8900);
+  // Eight rounds, in each of which a host may send a few requests to an upstream that refuses.
+  CHECK(in_vain <= 8 * kHosts * pausing.size() * 2);
+  world.Run(5s, 300);
+  CHECK(world.ArrivalsSince("server-1", world.now - 1s) >= 25);
+}
+
 class LeavingFixture {};
 
 // Guards against new work for an upstream that says in its responses that it is leaving, also from
