--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -9,6 +9,11 @@
 ADDRESS = "127.0.0.1"
 # A daemon that continues after SIGSTOP catches up on missed records within this time.
 CATCH_UP_S = 0.3
+# Time for which an upstream that pauses wants no request, the time after which a daemon must keep
+# the pause, and the requests that may arrive in it all the same.
+PAUSE_S = 1.5
+PAUSE_GRACE_S = 0.5
+MAX_REQUESTS_IN_PAUSE = 2
 
 
 async def read_head(reader):
@@ -149,7 +154,12 @@
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
         self.leaving = False
+        # Whether it says in its responses that it leaves, and whether it tells the store.
+        self.says_leaving, self.tells_store = False, True
         self.left_at = None
+        # By daemon: when it first got a response that says so, and the pauses that it was asked
+        # for, as begin, end and number of requests in them.
+        self.told_leaving, self.pauses = {}, {}
         self.fault = None
         self.generations = {}
 
@@ -158,7 +168,7 @@
         return json.dumps({
             "service": self.service, "address": f"{ADDRESS}:{self.proxy.port}", "zone": "z",
             "version": "v1", "slots": 24 if self.is_engine else 6, "born": self.started_ms,
-            "state": "draining" if self.leaving else "ready", "cold_left_ms": 0,
+            "state": "draining" if self.leaving and self.tells_store else "ready", "cold_left_ms": 0,
             "sequence": self.sequence}).encode()
 
     async def serve(self, reader, writer):
@@ -169,6 +179,10 @@
                 writer.write(self.control(method, target, body))
             elif fields.get("expect-instance") != self.name:
                 writer.write(response(421, b"", [("Instance-Id", self.name)]))
+            elif not self.check_signals(fields["request-id"]):
+                writer.write(response(503, b"", [
+                    ("Not-Executed", "1"), ("Request-Id", fields["request-id"]),
+                    ("Retry-After", str(PAUSE_S))]))
             elif self.is_engine:
                 if not await self.generate(writer, fields):
                     return
@@ -176,6 +190,42 @@
                 return
             await writer.drain()
 
+    def check_signals(self, request):
+        """Checks a request against what its daemon has heard from this upstream.
+
+        Returns False if the upstream refuses it and asks for a pause.
+        """
+        now = time.monotonic()
+        daemon = self.world.daemon_by_request[request]
+
+        def is_bound_since(since):
+            return (max(daemon.terminated_at, daemon.killed_at, self.proxy.disturbed_at) < since and
+                    daemon.paused_until < since)
+
+        told = self.told_leaving.get(daemon)
+        if told and now > told + self.world.drain_s + 0.5 and is_bound_since(told):
+            self.world.fail(f"DRAIN: {request} at {self.name} {now - told:.1f} s after it told "
+                            f"{daemon.name} that it leaves")
+        pauses = [pause for pause in self.pauses.get(daemon, ()) if pause[1] > now]
+        for pause in pauses:
+            pause[2] += now > pause[0]
+            if pause[2] > MAX_REQUESTS_IN_PAUSE and is_bound_since(pause[0] - PAUSE_GRACE_S):
+                self.world.fail(f"BUDGET: {request} at {self.name}, which asked {daemon.name} "
+                                f"for a pause {now - pause[0] + PAUSE_GRACE_S:.1f} s before")
+        # A daemon that cancels a hedged request may not read the response.
+        if self.fault == "pause" and request not in self.world.idempotent:
+            pauses.append([now + PAUSE_GRACE_S, now + PAUSE_S, 0])
+        self.pauses[daemon] = pauses
+        return self.fault != "pause"
+
+    def record_told(self, request):
+        """Records that a response has gone out, which may say that this upstream leaves."""
+        if self.says_leaving and request not in self.world.idempotent:
+            self.told_leaving.setdefault(self.world.daemon_by_request[request], time.monotonic())
+
+    def leaving_field(self):
+        return [("Server-Leaving", "1")] if self.says_leaving else []
+
     def record_execution(self, request):
         self.world.executions.setdefault(request, []).append((self.name, time.monotonic()))
         now = time.monotonic()
@@ -199,8 +249,10 @@
         if self.fault == "hang":
             await asyncio.sleep(3)
         response_bytes = response(200, f"{request}:{len(body)}".encode(),
-                                  [("Request-Id", request), ("Response-Stamp", self.name)])
+                                  [("Request-Id", request), ("Response-Stamp", self.name)] +
+                                  self.leaving_field())
         writer.write(response_bytes)
+        self.record_told(request)
         if self.fault == "extra":
             writer.write(response(200, b"other",
                                   [("Request-Id", "other"), ("Response-Stamp", "x")]))
@@ -225,7 +277,9 @@
         await asyncio.sleep(0.03)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      b"Transfer-Encoding: chunked\r\nRequest-Id: " + request.encode() +
-                     b"\r\nResponse-Stamp: " + self.name.encode() + b"\r\n\r\n")
+                     b"\r\nResponse-Stamp: " + self.name.encode() +
+                     (b"\r\nServer-Leaving: 1" if self.says_leaving else b"") + b"\r\n\r\n")
+        self.record_told(request)
         while event < generation["length"]:
             if generation["stopped"]:
                 return False
@@ -242,7 +296,8 @@
     def control(self, method, target, body):
         if target == "/api/report":
             return response(200, json.dumps({"born": self.started_ms, "state":
-                                           "draining" if self.leaving else "ready"}).encode())
+                                           "draining" if self.leaving else "ready"}).encode(),
+                            self.leaving_field())
         if target != "/api/kv-move":
             return response(200)
         call = json.loads(body)
@@ -268,6 +323,12 @@
     def __init__(self, target):
         self.target = target
         self.mode = "pass"
+        self.disturbed_at = 0.0
+
+    def disturb(self, mode):
+        """Sets a fault, or ends it with "pass"; responses in between may come late or be lost."""
+        self.mode = mode
+        self.disturbed_at = time.monotonic() if mode == "pass" else float("inf")
 
     async def serve(self, reader, writer):
         try:
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -164,8 +164,11 @@
         self.upstreams.remove(upstream)
         if not crash:
             upstream.leaving = True
+            upstream.says_leaving = self.random.random() < 0.5
+            # Some upstreams never report to the store that they leave.
+            upstream.tells_store = not upstream.says_leaving or self.random.random() < 0.5
             await self.store.put("keyed.servers", upstream.name, upstream.entry())
-            if self.store.mode == "up":
+            if self.store.mode == "up" and upstream.tells_store:
                 upstream.left_at = time.monotonic()
             await asyncio.sleep(self.drain_s + 1.0)
         upstream.kill()
@@ -304,14 +307,14 @@
         world.store_proxy.mode = "pass"
     elif kind == "upstream":
         upstream = rng.choice([item for item in world.upstreams if not item.is_engine])
-        upstream.fault = rng.choice(("shed", "lose", "hang", "extra"))
+        upstream.fault = rng.choice(("shed", "lose", "hang", "extra", "pause"))
         await asyncio.sleep(rng.uniform(0.3, 2))
         upstream.fault = None
     elif kind == "proxy":
         proxy = rng.choice(world.upstreams).proxy
-        proxy.mode = rng.choice(("delay", "silent", "cut_up", "cut_down", "reset"))
+        proxy.disturb(rng.choice(("delay", "silent", "cut_up", "cut_down", "reset")))
         await asyncio.sleep(rng.uniform(0.3, 2))
-        proxy.mode = "pass"
+        proxy.disturb("pass")
     elif kind in ("engine_leaves", "engine_crashes", "plain_leaves"):
         is_engine = kind != "plain_leaves"
         upstream = rng.choice([item for item in world.upstreams if item.is_engine == is_engine])
