Decide calls at once on a draining host that has left the epoch

No call that ran lost its response, but a call with an idempotency key that came about 0.9 s after SIGTERM waited 8 s for its deadline, and kept the process from ending for up to 17 s. Cause: the others remove a draining host from the epoch at once, only members claim keys, and the host still took calls and let them wait for a claim that it could not make.

Such a call is now refused at once with reason draining and outcome unknown, as an earlier call with its key may have run; the caller repeats it at another host with the same key. Keys whose outcome is known are still answered.

Only snipeturnd links claims; the users' deployment is not affected.

--- a/src/snipeturn/claims/claims.cc
+++ b/src/snipeturn/claims/claims.cc
@@ -299,6 +299,11 @@
     decisions.push_back(std::move(*decision));
     return decisions;
   }
+  // A host that shuts down doesn't become a member again, so it could only wait.
+  if (!waiter.waits_for_winner && membership.draining && !IsMember(membership)) {
+    decisions.push_back(internal::MakeDecision(waiter, ClaimDecision::Kind::kUnknown, "draining"));
+    return decisions;
+  }
   waiter.claim = internal::NewClaimId(state, membership.self);
   // Only members claim keys, so that a query to all members reaches each host that may have run
   // one.
--- a/test/snipeturn/claims/claims_test.cc
+++ b/test/snipeturn/claims/claims_test.cc
@@ -307,6 +307,30 @@
   CHECK(Decisions("a") == std::vector<Kind>{Kind::kUnknown});
 }
 
+// Guards against a call that waits until its deadline on a host which shuts down and has left the
+// epoch: it can't claim a key any more, and the process does not end before the call does.
+TEST_CASE_METHOD(ClaimsFixture, "claim_drainingHostLeftEpoch_decidedAtOnce", "[claims]") {
+  Host& host = hosts_["a"];
+  host.membership.draining = true;
+  SECTION("still a member") {
+    Begin("a", 1, Key());
+    Run(milliseconds{100});
+    CHECK(Decisions("a") == std::vector<Kind>{Kind::kDispatch});
+  }
+  SECTION("no longer a member") {
+    Epoch epoch = host.membership.epochs.back();
+    epoch.number = 2;
+    epoch.members.erase(epoch.members.begin());
+    host.membership.epochs.push_back(epoch);
+    REQUIRE_FALSE(IsMember(host.membership));
+    Begin("a", 1, Key());
+    // An earlier call with the key may have run at another host.
+    REQUIRE(Decisions("a") == std::vector<Kind>{Kind::kUnknown});
+    CHECK(host.decisions.back().reason == "draining");
+    CHECK(host.claims.waiters.empty());
+  }
+}
+
 // Guards against a second execution of a key whose records have expired in the log.
 TEST_CASE_METHOD(ClaimsFixture, "key_older_than_the_retention_is_never_dispatched", "[claims]") {
   Read("a");
