--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "snipeturn/loop/crash_report_codec.h"
+#include "snipeturn/loop/upstream_signal_codec.h"
 
 namespace snipeturn::loop {
 namespace internal {
@@ -131,65 +132,6 @@
   return table;
 }
 
-/// Value of a row's limit that says that the upstream no longer states one.
-constexpr double kNoLimit = -1;
-
-Json::Value EncodeLimits(const std::vector<entry::ReportedLimit>& limits) {
-  Json::Value rows(Json::arrayValue);
-  for (const entry::ReportedLimit& limit : limits) {
-    Json::Value row(Json::arrayValue);
-    row.append(limit.id);
-    row.append(limit.requests_per_second.value_or(kNoLimit));
-    row.append(Json::Int64{limit.age.count()});
-    rows.append(std::move(row));
-  }
-  return rows;
-}
-
-std::optional<std::vector<entry::ReportedLimit>> DecodeLimits(const Json::Value& rows) {
-  constexpr Json::ArrayIndex kLimitRowLength = 3;
-  std::vector<entry::ReportedLimit> limits;
-  for (const Json::Value& row : rows) {
-    if (!row.isArray() || row.size() != kLimitRowLength || !row[0].isString()) {
-      return std::nullopt;
-    }
-    entry::ReportedLimit limit;
-    limit.id = row[0].asString();
-    limit.age = std::chrono::milliseconds(row[2].asInt64());
-    if (row[1].asDouble() >= 0) {
-      limit.requests_per_second = row[1].asDouble();
-    }
-    if (limit.age < std::chrono::milliseconds{0}) {
-      return std::nullopt;  // A statement from the future could not be replaced.
-    }
-    limits.push_back(std::move(limit));
-  }
-  return limits;
-}
-
-Json::Value EncodeLeavings(const std::vector<entry::ReportedLeaving>& leaving) {
-  Json::Value rows(Json::arrayValue);
-  for (const entry::ReportedLeaving& report : leaving) {
-    Json::Value row(Json::arrayValue);
-    row.append(report.id);
-    row.append(Json::Int64{report.start_time_ms});
-    rows.append(std::move(row));
-  }
-  return rows;
-}
-
-std::optional<std::vector<entry::ReportedLeaving>> DecodeLeavings(const Json::Value& rows) {
-  constexpr Json::ArrayIndex kLeavingRowLength = 2;
-  std::vector<entry::ReportedLeaving> leaving;
-  for (const Json::Value& row : rows) {
-    if (!row.isArray() || row.size() != kLeavingRowLength || !row[0].isString()) {
-      return std::nullopt;
-    }
-    leaving.push_back({row[0].asString(), row[1].asInt64()});
-  }
-  return leaving;
-}
-
 std::optional<entry::PeerLoadReceived> DecodeLoad(const Json::Value& root) {
   if (!root["load"].isArray()) {
     return std::nullopt;
@@ -371,10 +313,10 @@
   }
   root["load"] = internal::EncodeLoadTable(load.load);
   if (!load.limits.empty()) {
-    root["limits"] = internal::EncodeLimits(load.limits);
+    root["limits"] = EncodeLimits(load.limits);
   }
   if (!load.leaving.empty()) {
-    root["leaving"] = internal::EncodeLeavings(load.leaving);
+    root["leaving"] = EncodeLeavings(load.leaving);
   }
   return internal::WriteCompactJson(root);
 }
@@ -388,10 +330,10 @@
   root["forwarded"] = sum.is_forwarded;
   root[internal::kSumKey] = internal::EncodeLoadTable(sum.load);
   if (!sum.limits.empty()) {
-    root["limits"] = internal::EncodeLimits(sum.limits);
+    root["limits"] = EncodeLimits(sum.limits);
   }
   if (!sum.leaving.empty()) {
-    root["leaving"] = internal::EncodeLeavings(sum.leaving);
+    root["leaving"] = EncodeLeavings(sum.leaving);
   }
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
