Log a stated limit only when it changes by more than a tenth

An upstream that states a slightly different limit in each response caused a log line and a load table for each of them. The value is adopted as before. Test limit_variesSlightly_notLoggedEachTime failed before by the code's reading (a line for each change).

--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <string_view>
 #include <utility>
@@ -24,6 +25,17 @@
 /// How long hosts tell one another that an upstream is leaving; the store has told it by then.
 constexpr std::chrono::seconds kLeavingReportTime{10};
 
+/// Changes of a limit by a smaller share are neither logged nor told to other hosts at once: an
+/// upstream may state another limit in each response.
+constexpr double kNotableChange = 0.1;
+
+bool IsNotableChange(const std::optional<double>& before, const std::optional<double>& after) {
+  if (!before || !after) {
+    return before.has_value() != after.has_value();
+  }
+  return std::abs(*after - *before) > kNotableChange * std::max(*before, *after);
+}
+
 void LogLimitEnd(EventScope& scope, const Upstream& upstream, std::string_view reason) {
   Log(scope, log_events::kLimitEnded,
       fmt::format("upstream={} service={} reason={}", upstream.entry.id, upstream.entry.service,
@@ -34,7 +46,8 @@
                 Upstream& upstream,
                 const backpressure::LimitStatement& statement) {
   const std::optional<double> before = upstream.rate_limit.requests_per_second;
-  if (!backpressure::AdoptStatement(upstream.rate_limit, statement, scope.now)) {
+  if (!backpressure::AdoptStatement(upstream.rate_limit, statement, scope.now) ||
+      !IsNotableChange(before, statement.requests_per_second)) {
     return;
   }
   if (statement.requests_per_second) {
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -149,6 +149,23 @@
   }
 }
 
+// Guards against a log line and a message to all hosts for each response of an upstream whose limit
+// varies a little.
+TEST_CASE_METHOD(EntryFixture, "limit_variesSlightly_notLoggedEachTime", "[entry_limit]") {
+  AddUpstream("plain-1", "plain");
+  const auto& limit = state.upstreams.at("plain-1").rate_limit.requests_per_second;
+  const std::uint64_t changes = state.load_changes;
+  std::size_t lines = 0;
+  for (const double stated : {5.0, 5.1, 4.9, 5.05, 2.5, 2.6}) {
+    now += 10ms;
+    Apply(UpstreamSignalled{"plain-1", now, SignalWorld::Limit(stated)});
+    lines += EffectsOf<EmitLog>().size();
+    CHECK(limit == stated);
+  }
+  CHECK(lines == 2);
+  CHECK(state.load_changes == changes + 2);
+}
+
 // Guards against a hedge or a retry that exceeds a limit which the first send used up.
 TEST_CASE_METHOD(EntryFixture, "limit_usedUp_noHedgeOrRetry", "[entry_limit]") {
   AddUpstream("plain-1", "plain");
