Don't start a daemon of the soak twice

From its log: two starts of host-1 within 20 ms at 03:15:39.5, the second of which ended with "can't listen: Address already in use" and exit code 1. Cause: the two series of faults restarted one daemon, one by SIGKILL and one by SIGTERM; only a restart by SIGTERM kept the other series off. The process that was started twice was also left behind.

A restart by either signal keeps the other series off now. No check changes.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -26,6 +26,7 @@
 # Seeds that failed once, with the cause; they run unless --seeds names others.
 REGRESSIONS = {
     "1": "DRAIN: a stopped daemon sent a request before it read that the upstream leaves",
+    "32": "STOP: both series of faults restarted one daemon, which was then started twice",
     "113": "DENIED: one port was given out twice, so callers met another daemon's readiness port",
     "141": "the soak ended with an error: both series of faults removed one upstream",
 }
@@ -50,6 +51,8 @@
         self.world, self.name, self.process = world, name, None
         self.front, self.ready = free_port(), free_port()
         self.stopping = False
+        # A fault task is restarting it; another one must not start a second process meanwhile.
+        self.restarting = False
         # Times of the last SIGTERM and SIGKILL.
         self.terminated_at, self.killed_at = 0.0, 0.0
         self.pauses, self.paused_until = 0, 0.0
@@ -86,6 +89,7 @@
 
     async def restart(self, number):
         """Ends the process by a signal, waits until it has exited and starts it again."""
+        self.restarting = True
         self.stopping = number == signal.SIGTERM
         if self.stopping:
             self.terminated_at = time.monotonic()
@@ -103,6 +107,7 @@
         if self.stopping and self.process.returncode != 0:
             self.world.fail(f"STOP: {self.name} ended with {self.process.returncode}")
         await self.start()
+        self.restarting = False
 
 
 class World:
@@ -295,7 +300,7 @@
     if kind == "pause":
         await daemon.pause(rng.uniform(0.2, 2.5))
     elif kind in ("kill", "term"):
-        if not daemon.stopping:
+        if not daemon.restarting:
             await daemon.restart(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
     elif kind == "store":
         world.store.mode = rng.choice(("silent", "reset", "slow", "busy"))
