Log how a request stands to a planned stop, and what the process leaves when it ends

The logs couldn't tell whether a stream that a stop cut was admitted although it couldn't end, sent after the decision to exit, or complete but not yet read by its caller. 832, 834 and 836 of a stopping host now say when the request arrived after SIGTERM, the forecast of its duration and the time left; 836 also the time to the first event. 807 counts unfinished exchanges and unwritten bytes when the process ends. No decision changes.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -16,6 +16,7 @@
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/shutdown.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -181,12 +182,12 @@
       fmt::format(
           "id={} route={} organisation={} upstream={} use={:.2f} failing={:.2f} waited_ms={} "
           "sends={} "
-          "prompt={} forecast={} version={}",
+          "prompt={} forecast={} version={}{}",
           request.head.id, request.route, request.organisation, placement.upstream,
           placement.utilisation, placement.failure_rate,
           ToMilliseconds(scope.now - request.arrived).count(), request.sends,
-          request.head.prompt_tokens, request.expected_output_tokens,
-          scope.state.desired->version));
+          request.head.prompt_tokens, request.expected_output_tokens, scope.state.desired->version,
+          DescribeShutdown(scope, request)));
   StartAttempt(scope, request, upstream, std::nullopt);
   return placement;
 }
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -186,9 +186,10 @@
   IncrementCounter(scope, kRefusals, reason);
   Log(scope, log_events::kRefused,
       fmt::format(
-          "id={} status={} reason={} route={} after_ms={} sends={} retry_after_ms={} last={}",
+          "id={} status={} reason={} route={} after_ms={} sends={} retry_after_ms={} last={}{}",
           request.head.id, status, reason, request.route, ElapsedMs(scope, request), request.sends,
-          retry_after ? retry_after->count() : -1, request.last_reason));
+          retry_after ? retry_after->count() : -1, request.last_reason,
+          DescribeShutdown(scope, request)));
   EndRequest(scope, request);
 }
 
@@ -196,8 +197,12 @@
   scope.effects.push_back(BreakStream{request.key});
   IncrementCounter(scope, kEntryStreams, reason);
   Log(scope, log_events::kStreamBroken,
-      fmt::format("id={} reason={} route={} after_ms={} events={} last={}", request.head.id, reason,
-                  request.route, ElapsedMs(scope, request), request.events, request.last_reason));
+      fmt::format("id={} reason={} route={} after_ms={} first_event_ms={} events={} last={}{}",
+                  request.head.id, reason, request.route, ElapsedMs(scope, request),
+                  request.first_event_at
+                      ? ToMilliseconds(*request.first_event_at - request.arrived).count()
+                      : -1,
+                  request.events, request.last_reason, DescribeShutdown(scope, request)));
   EndRequest(scope, request);
 }
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -269,6 +269,7 @@
   scope.state.load_decreases += attempt->is_reading_prompt ? 1 : 0;
   attempt->is_reading_prompt = false;
   request.events = std::max(request.events, event.events);
+  request.first_event_at = request.first_event_at.value_or(scope.now);
   request.last_event_at = scope.now;
   scope.effects.push_back(RelayEvents{request.key, event.attempt});
   if (is_first_of_response) {
--- a/src/snipeturn/entry/shutdown.cc
+++ b/src/snipeturn/entry/shutdown.cc
@@ -65,6 +65,25 @@
                       kPlainMargin * static_cast<double>(found->second.longest.count()))));
 }
 
+/// Forecasts the time from now to the end of a request that is sent now.
+std::chrono::milliseconds ForecastDuration(const EventScope& scope, const Request& request) {
+  if (request.kind != RouteKind::kStream) {
+    return PlainDuration(scope, request);
+  }
+  const bool is_before_balancer_update = scope.now - scope.state.stopping_since < kBalancerDelay;
+  const double tokens = is_before_balancer_update || request.head.max_output_tokens == 0
+                            ? static_cast<double>(request.expected_output_tokens) * kLengthMargin
+                            : static_cast<double>(request.head.max_output_tokens);
+  const double events = tokens / static_cast<double>(request.tokens_per_event) + 1;
+  return kTimeToFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
+                                 static_cast<double>(kEventInterval.count()) * events));
+}
+
+/// Time by which a request has to end during a planned stop.
+TimePoint LatestEnd(const State& state) {
+  return state.stopping_since + state.options.bounds.grace - kGraceMargin;
+}
+
 }  // namespace
 
 void RecordResponseTime(EventScope& scope,
@@ -102,21 +121,19 @@
 }
 
 bool WouldOutliveProcess(const EventScope& scope, const Request& request) {
+  return scope.state.is_stopping &&
+         scope.now + ForecastDuration(scope, request) > LatestEnd(scope.state);
+}
+
+std::string DescribeShutdown(const EventScope& scope, const Request& request) {
   const State& state = scope.state;
   if (!state.is_stopping) {
-    return false;
-  }
-  std::chrono::milliseconds duration = PlainDuration(scope, request);
-  if (request.kind == RouteKind::kStream) {
-    const bool is_before_balancer_update = scope.now - state.stopping_since < kBalancerDelay;
-    const double tokens = is_before_balancer_update || request.head.max_output_tokens == 0
-                              ? static_cast<double>(request.expected_output_tokens) * kLengthMargin
-                              : static_cast<double>(request.head.max_output_tokens);
-    const double events = tokens / static_cast<double>(request.tokens_per_event) + 1;
-    duration = kTimeToFirstEvent + std::chrono::milliseconds(static_cast<std::int64_t>(
-                                       static_cast<double>(kEventInterval.count()) * events));
+    return "";
   }
-  return scope.now + duration > state.stopping_since + state.options.bounds.grace - kGraceMargin;
+  return fmt::format(" arrived_after_stop_ms={} needs_ms={} left_ms={}",
+                     ToMilliseconds(request.arrived - state.stopping_since).count(),
+                     ForecastDuration(scope, request).count(),
+                     ToMilliseconds(LatestEnd(state) - scope.now).count());
 }
 
 std::chrono::milliseconds RetryAfterShutdown(const EventScope& scope) {
--- a/src/snipeturn/entry/shutdown.h
+++ b/src/snipeturn/entry/shutdown.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <string>
 
 #include "snipeturn/entry/event_scope.h"
 #include "snipeturn/entry/request.h"
@@ -29,6 +30,11 @@
 ///     exit.
 [[nodiscard]] bool WouldOutliveProcess(const EventScope& scope, const Request& request);
 
+/// @return Fields of a log line that tell how a request stands to the planned stop, with a space in
+///     front: milliseconds from SIGTERM to its arrival, forecast of its duration, and time left in
+///     the grace period; empty if the host isn't stopping.
+[[nodiscard]] std::string DescribeShutdown(const EventScope& scope, const Request& request);
+
 /// @return Retry-After for a caller that this stopping host refuses: zero if another host of the
 ///     zone keeps running, else the time until this host serves again.
 [[nodiscard]] std::chrono::milliseconds RetryAfterShutdown(const EventScope& scope);
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -452,6 +452,18 @@
   AwaitExit(BootTime() + internal::kExitDelay, deadline);
 }
 
+void EntryRuntime::LogExit() {
+  int unfinished = 0;
+  std::size_t unwritten = 0;
+  for (const auto& [key, connection] : connections_) {
+    unfinished += connection->is_idle() ? 0 : 1;
+    unwritten += connection->unwritten_bytes();
+  }
+  Log({entry::log_events::kExited, fmt::format("connections={} unfinished={} unwritten_bytes={}",
+                                               connections_.size(), unfinished, unwritten)});
+  log_.Flush();
+}
+
 void EntryRuntime::AwaitExit(TimePoint earliest, TimePoint deadline) {
   const TimePoint now = BootTime();
   CheckConnectionTimeouts(now);
@@ -459,6 +471,7 @@
   const bool are_idle = std::all_of(connections_.begin(), connections_.end(),
                                     [](const auto& entry) { return entry.second->is_idle(); });
   if (now >= deadline || (are_idle && now >= earliest)) {
+    LogExit();
     context_.stop();
     return;
   }
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -151,6 +151,7 @@
   /// passes, and ends the loop.
   void Stop(TimePoint deadline);
   void AwaitExit(TimePoint earliest, TimePoint deadline);
+  void LogExit();
   /// Accepts the connections that the system has already established.
   void AcceptPending(Acceptor& acceptor, Listener kind);
 
