--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -274,7 +274,7 @@
             event = 0
         generation["stopped"] = False
         self.generations[request] = generation
-        await asyncio.sleep(0.03)
+        await asyncio.sleep(self.world.first_event_s)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      b"Transfer-Encoding: chunked\r\nRequest-Id: " + request.encode() +
                      b"\r\nResponse-Stamp: " + self.name.encode() +
@@ -288,7 +288,7 @@
             data = f"id: {event}\ndata: {generation['id']}\n\n".encode()
             writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(0.01)
+            await asyncio.sleep(self.world.event_s)
         writer.write(b"0\r\n\r\n")
         self.generations.pop(request, None)
         return True
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -62,7 +62,7 @@
                 "node_name": name, "zone": "z", "ip": ADDRESS,
                 "internal_ports": [free_port(socket.SOCK_DGRAM)],
                 "listen": {"front": f"{ADDRESS}:{self.front}", "ready": f"{ADDRESS}:{self.ready}"},
-                "bounds": {"revoke_ms": int(REVOKE_S * 1000), "grace_s": 4, "fail_closed": True,
+                "bounds": {"revoke_ms": int(REVOKE_S * 1000), "grace_s": world.grace_s, "fail_closed": True,
                            "drain_ms": int(world.drain_s * 1000), "budget_slack": 50},
                 "platform": {"address": f"{ADDRESS}:{world.store_proxy.port}"}}}, file)
 
@@ -97,10 +97,11 @@
             self.killed_at = time.monotonic()
         self.signal(number)
         try:
-            await asyncio.wait_for(self.process.wait(), 8)
+            await asyncio.wait_for(self.process.wait(), self.world.grace_s + 4)
         except asyncio.TimeoutError:
             if self.stopping:
-                self.world.fail(f"STOP: {self.name} did not end within 8 s of SIGTERM")
+                self.world.fail(f"STOP: {self.name} did not end within {self.world.grace_s + 4} s "
+                                "of SIGTERM")
                 self.killed_at = time.monotonic()
             self.signal(signal.SIGKILL)
             await self.process.wait()
@@ -116,6 +117,10 @@
     drain_s = 1.0
     # Time that a plain service takes for a request.
     call_s = 0.02
+    # Time that an engine takes until the first event of a stream, and between events.
+    first_event_s, event_s = 0.03, 0.01
+    # Grace period of a planned stop, and the longest time of a request by the settings.
+    grace_s, timeout_s = 4, 5
 
     def __init__(self, program, seed, folder):
         self.program, self.folder = program, folder
@@ -145,7 +150,7 @@
                   ("safe", "/r/", "plain", 2)]
         desired = {"version": self.version, "routes": [
             {"name": kind, "host": "soak.example", "path_prefix": prefix, "kind": kind,
-             "timeout_ms": 5000, "latency_target_ms": 500, "service": service,
+             "timeout_ms": int(self.timeout_s * 1000), "latency_target_ms": 500, "service": service,
              "max_attempts": attempts} for kind, prefix, service, attempts in routes],
             "services": [{"name": "engines", "engine": {
                 "slots": 24, "kv_cache_tokens": 40000, "moves": True, "stride": 4}},
