--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -30,17 +30,20 @@
                    const RequestArrived& event,
                    int status,
                    std::string_view reason,
-                   std::optional<std::chrono::milliseconds> retry_after = std::nullopt) {
+                   std::optional<std::chrono::milliseconds> retry_after = std::nullopt,
+                   std::string_view details = "") {
   scope.effects.push_back(Refuse{event.request, status, reason, retry_after});
   IncrementCounter(scope, kRefusals, reason);
   Log(scope, log_events::kRefused,
-      fmt::format("id={} status={} reason={} path={} version={} retry_after_ms={} confirmed_ms={}",
-                  event.head.id, status, reason, event.head.path,
-                  scope.state.desired ? scope.state.desired->version : -1,
-                  retry_after ? retry_after->count() : -1,
-                  scope.state.store.confirmed
-                      ? ToMilliseconds(scope.now - *scope.state.store.confirmed).count()
-                      : -1));
+      fmt::format(
+          "id={} status={} reason={} path={} version={} retry_after_ms={} confirmed_ms={}{}",
+          event.head.id, status, reason, event.head.path,
+          scope.state.desired ? scope.state.desired->version : -1,
+          retry_after ? retry_after->count() : -1,
+          scope.state.store.confirmed
+              ? ToMilliseconds(scope.now - *scope.state.store.confirmed).count()
+              : -1,
+          details));
 }
 
 /// Returns whether the configuration is so old that a revoked key may still be accepted here.
@@ -131,7 +134,8 @@
         static_cast<std::uint64_t>(std::max(1, service->second.engine->tokens_per_event));
   }
   if (WouldOutliveProcess(scope, request)) {
-    RefuseArrival(scope, event, 503, "stopping", RetryAfterShutdown(scope));
+    RefuseArrival(scope, event, 503, "stopping", RetryAfterShutdown(scope),
+                  DescribeShutdown(scope, request));
     return;
   }
   if (const auto retry_after = HoldBack(scope, event.head, event.request)) {
