--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -26,24 +26,37 @@
             {[this](const std::vector<KeyedRecord>& records, std::uint64_t /*end*/) {
                snapshot_size = records.size();
              },
-             [](const KeyedRecord& /*record*/) {},
+             [this](const KeyedRecord& record) { keys += record.key; },
              [this](TimePoint /*began*/, std::uint64_t /*end*/) { ++confirmed_reads; },
-             [](const std::string& /*reason*/) {}}) {
+             [this](const std::string& /*reason*/) { ++failed_reads; }}) {
     follower.Start();
     connection.emplace(Accept());
   }
 
   /// Receives the next call and responds to it; returns method and path of the call.
-  std::string RespondToNextCall(const std::string& body) {
+  std::string RespondToNextCall(const std::string& body, const std::string& status = "200 OK") {
     const std::string call = ReadUntil(*connection, "\r\n\r\n");
-    Write(*connection,
-          "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    Write(*connection, "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
+                           "\r\n\r\n" + body);
     return call.substr(0, call.find(" HTTP"));
   }
 
+  /// Body of a log read: the end of the log, 0 as first offset, and the records.
+  static std::string MakeLog(char end, const std::string& records) {
+    return std::string(7, '\0') + end + std::string(8, '\0') + records;
+  }
+
+  static std::string MakePage(const std::string& items, bool has_more) {
+    return R"({"items":[)" + items + R"(],"has_more":)" + (has_more ? "true" : "false") +
+           R"(,"end":4})";
+  }
+
   std::chrono::milliseconds interval{60000};
   std::size_t snapshot_size{0};
+  /// Keys of the records of the log.
+  std::string keys;
   int confirmed_reads{0};
+  int failed_reads{0};
   loop::HttpClient client;
   StoreClient store;
   TopicFollower follower;
@@ -70,5 +83,16 @@
   CHECK(snapshot_size == 2);
 }
 
+// Guards against a list that is never read to its end: a key that breaks the next call.
+TEST_CASE_METHOD(TopicFollowerFixture, "snapshot_oddKeyLast_encodedInNextCall", "[platform]") {
+  RespondToNextCall(
+      MakePage(R"({"key":"a b&x=1#%+\r\nX: \u00fc-._~","value":"e30=","offset":3})", true));
+  const std::string call = RespondToNextCall(MakePage("", false));
+  CHECK(call ==
+        "GET /api/log-newest?topic=keyed.op&part=0&after="
+        "a%20b%26x%3D1%23%25%2B%0D%0AX%3A%20%C3%BC-._~");
+  CHECK(RunUntil([this] { return confirmed_reads == 1; }));
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
