--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -94,5 +94,39 @@
   CHECK(RunUntil([this] { return confirmed_reads == 1; }));
 }
 
+// Guards against a page that is lost: the store may not find a key again that is no plain text.
+TEST_CASE_METHOD(TopicFollowerFixture, "snapshot_oddKeyLast_continuedAfterPlainKey", "[platform]") {
+  RespondToNextCall(MakePage(
+      R"({"key":"a","value":"e30=","offset":2},{"key":"\ufffd","value":"e30=","offset":3})", true));
+  const std::string call = RespondToNextCall(MakePage(
+      R"({"key":"\ufffd","value":"e30=","offset":3},{"key":"b","value":"e30=","offset":1})",
+      false));
+  CHECK(call.find("&after=a") == call.size() - std::string("&after=a").size());
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+}
+
+// Guards against memory without bound: pages that are read for ever, since each ends with a key
+// that was the last one before.
+TEST_CASE_METHOD(TopicFollowerFixture,
+                 "snapshot_pageRepeated_readFailsAndStartsAgain",
+                 "[platform]") {
+  const std::string key = GENERATE("", "a", "\\ufffd");
+  const std::string page = MakePage(R"({"key":")" + key + R"(","value":"e30=","offset":3})", true);
+  RespondToNextCall(page);
+  CHECK(RespondToNextCall(page).find("&after=") != std::string::npos);
+  CHECK(RespondToNextCall(MakePage("", false)).find("&after=") == std::string::npos);
+  CHECK(failed_reads == 1);
+  CHECK(RunUntil([this] { return confirmed_reads == 1; }));
+  CHECK(snapshot_size == 0);
+}
+
+// Guards against upstreams that are taken for removed: a page that can't be continued is not the
+// last one.
+TEST_CASE_METHOD(TopicFollowerFixture, "snapshot_pageWithoutKeys_notTakenAsWhole", "[platform]") {
+  RespondToNextCall(MakePage(R"({"value":"e30=","offset":3})", true));
+  REQUIRE(RunUntil([this] { return failed_reads + confirmed_reads > 0; }));
+  CHECK(confirmed_reads == 0);
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
