--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -128,5 +128,16 @@
   CHECK(confirmed_reads == 0);
 }
 
+// Guards against a topic that counts as unread, and is read again and again, while its last record
+// has no valid key.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_lastRecordWithoutKey_readOnce", "[platform]") {
+  interval = 0ms;
+  RespondToNextCall(MakePage("", false));
+  const std::string bad = GENERATE(std::string("\0\0\0\0", 4), std::string("\0\0\0\2\x09x", 6));
+  CHECK(RespondToNextCall(MakeLog(5, bad)).find("&from=4&") != std::string::npos);
+  CHECK(RespondToNextCall(MakeLog(5, "")).find("&from=5&") != std::string::npos);
+  CHECK(RunUntil([this] { return confirmed_reads == 3; }));
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
