--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -139,5 +139,18 @@
   CHECK(RunUntil([this] { return confirmed_reads == 3; }));
 }
 
+// Guards against a log that is never read on: the last record of each read is cut off.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_lastRecordCutOff_wholeOnesDelivered", "[platform]") {
+  interval = 0ms;
+  RespondToNextCall(MakePage("", false));
+  const std::string first = EncodeKeyedRecord("a", "1");
+  const std::string second = EncodeKeyedRecord("b", "2");
+  RespondToNextCall(MakeLog(6, first + second.substr(0, 6)));
+  CHECK(RespondToNextCall(MakeLog(6, second)).find("&from=5&") != std::string::npos);
+  REQUIRE(RunUntil([this] { return confirmed_reads == 2; }));
+  CHECK(keys == "ab");
+  CHECK(failed_reads == 1);
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
