--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -152,5 +152,21 @@
   CHECK(failed_reads == 1);
 }
 
+// Guards against calls without pause: a topic whose records expire faster than they are read.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_expiredAgain_nextReadDelayed", "[platform]") {
+  interval = 0ms;
+  const auto read_until_expired = [this] {
+    RespondToNextCall(MakePage(R"({"key":"a","value":"e30=","offset":3})", true));
+    RespondToNextCall(MakePage("", false));
+    RespondToNextCall(R"({"first":9})", "410 Gone");
+  };
+  read_until_expired();
+  read_until_expired();
+  RunFor(50ms);
+  CHECK(connection->available() == 0);
+  read_until_expired();
+  CHECK(confirmed_reads == 3);
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
