--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -70,7 +70,8 @@
 }
 
 TEST_CASE("newestRead_malformed_unknown", "[platform]") {
-  for (const std::string text : {"", "{}", R"({"items":{},"end":1})", R"({"items":[]})", "[]"}) {
+  for (const std::string text :
+       {"", "{}", R"({"items":{},"end":1})", R"({"items":[]})", "[]", R"({"items":[],"end":-1})"}) {
     CHECK(DecodeNewest(text).status == StoreStatus::kUnknown);
   }
 }
