--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -91,6 +91,29 @@
   }
 }
 
+/// A record that is valid but for one field, whose text is replaced.
+std::string MakeUpstreamRecord(const std::string& field, const std::string& value) {
+  std::string text =
+      R"({"service":"s","address":"10.1.2.3:80","zone":"z","slots":24,"state":"ready",)"
+      R"("born":1790101750402,"sequence":4,"cold_left_ms":700})";
+  const std::size_t begin = text.find("\"" + field + "\":") + field.size() + 3;
+  return text.replace(begin, text.find_first_of(",}", begin) - begin, value);
+}
+
+// Guards against an id that breaks or forges the header of a request, a log line, or the datagrams
+// to the other hosts.
+TEST_CASE("upstream_idNotSendable_rejected", "[platform]") {
+  const std::string text = MakeUpstreamRecord("slots", "24");
+  std::string failure;
+  REQUIRE(ParseUpstream("i-7f3a91c2", text, failure));
+  for (const std::string& id :
+       {std::string(), std::string("a b"), std::string("a\r\nTenant: other"), std::string("a\n"),
+        std::string("a\0b", 3), std::string("\x7f"), std::string("\xff"),
+        std::string("\xc3\xbc")}) {
+    CHECK_FALSE(ParseUpstream(id, text, failure));
+  }
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
