--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -259,6 +259,14 @@
   CHECK(settings->runtime.entry.bounds.grace == std::chrono::seconds(8));
 }
 
+// Guards against a daemon that doesn't start where it listens on all addresses of its host.
+TEST_CASE("settings_listenOnAllAddresses_accepted", "[platform]") {
+  std::string text = kSettings;
+  text.replace(text.find("10.1.0.19:8740"), 14, "0.0.0.0:8740");
+  std::string failure;
+  CHECK(ParseSettings(text, failure));
+}
+
 // Guards against a daemon that starts with incomplete settings.
 TEST_CASE("settings_fieldMissing_rejectedWithMessage", "[platform]") {
   for (const char* field :
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -114,6 +114,18 @@
   }
 }
 
+// Guards against an address that forges the header of a call, or that leads to this host itself or
+// to many hosts.
+TEST_CASE("upstream_addressOfNoServer_rejected", "[platform]") {
+  for (const std::string address :
+       {R"("10.1.2.3\u0000\r\nExpect-Instance: x:80")", R"("10.1.2.3\u0000:80")", R"("0.0.0.0:80")",
+        R"("0.1.2.3:80")", R"("224.0.0.1:80")", R"("255.255.255.255:80")", R"(":80")",
+        R"("10.1.2.3:-80")", R"("10.1.2.3:0")", R"("10.1.2.3:")"}) {
+    std::string failure;
+    CHECK_FALSE(ParseUpstream("i-1", MakeUpstreamRecord("address", address), failure));
+  }
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
