Reject entries with more slots than a server can have

An entry with slots had almost no utilisation whatever ran there, so it ranked first for all requests of its service.

upstream_slotsTooLarge_rejected failed before. No process ended over it: slots are used as a divisor in floating point only, and at least 1.

--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -126,6 +126,16 @@
   }
 }
 
+// Guards against an upstream that seems to have room for everything: a number of slots that loses
+// its upper bits.
+TEST_CASE("upstream_slotsTooLarge_rejected", "[platform]") {
+  for (const std::string slots : {"4294967297", "2147483648", "4294967296", "1000000000000000000",
+                                  "2147483647", "1e9", "-1", "1e400", "24.5", "true"}) {
+    std::string failure;
+    CHECK_FALSE(ParseUpstream("i-1", MakeUpstreamRecord("slots", slots), failure));
+  }
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
