Keep load tables within a datagram whatever the names of upstreams are

Updates of the list go out with the load tables of the next 1.2 s. One entry with a service or zone of some ten thousand bytes made the datagram larger than the 32 KB that receivers read, or than UDP carries, so none of this host's tables arrived meanwhile: its peers took it for gone, and an entry that changes with each heartbeat kept it so. 96 updates with long names did the same.

--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -4,8 +4,10 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <tuple>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "snipeturn/base/timers.h"
@@ -31,6 +33,8 @@
 /// is replaced.
 constexpr std::chrono::milliseconds kUpdateRepeatTime{1200};
 constexpr std::size_t kMaxRecentUpdates = 96;
+/// Their estimated bytes are limited too, since names may be long: a third of the largest datagram.
+constexpr std::size_t kMaxRecentUpdateBytes = 12288;
 /// Time between two reads of an engine's report: an engine that is being reclaimed has about two
 /// seconds left.
 constexpr std::chrono::milliseconds kReportInterval{300};
@@ -53,13 +57,44 @@
          std::tie(known.start_time_ms, known.sequence);
 }
 
+/// Estimates the bytes of a name in a datagram, where other bytes than ASCII take up to six.
+std::size_t EncodedBytes(std::string_view name) {
+  constexpr std::size_t kEscapeBytes = 5;
+  const auto escaped = std::count_if(name.begin(), name.end(), [](unsigned char byte) {
+    return byte < ' ' || byte >= 0x7f || byte == '"' || byte == '\\';
+  });
+  return name.size() + kEscapeBytes * static_cast<std::size_t>(escaped);
+}
+
+std::size_t EncodedBytes(const UpstreamUnlisted& notice) {
+  constexpr std::size_t kNumberBytes = 40;
+  return kNumberBytes + EncodedBytes(notice.id);
+}
+
+std::size_t EncodedBytes(const UpstreamListed& notice) {
+  constexpr std::size_t kNumberBytes = 80;
+  const UpstreamEntry& entry = notice.entry;
+  return kNumberBytes + EncodedBytes(entry.id) + EncodedBytes(entry.service) +
+         EncodedBytes(entry.zone) + EncodedBytes(entry.endpoint.address);
+}
+
+std::size_t RecentUpdateBytes(const State& state) {
+  std::size_t bytes = 0;
+  for (const State::RecentUpdate& recent : state.recent_updates) {
+    bytes +=
+        std::visit([](const auto& notice) { return EncodedBytes(notice); }, recent.update.notice);
+  }
+  return bytes;
+}
+
 /// Queues an update for the next load tables.
 template <typename Notice>
 void QueueUpdate(EventScope& scope, Notice notice) {
   State& state = scope.state;
   while (!state.recent_updates.empty() &&
          (scope.now - state.recent_updates.front().at > kUpdateRepeatTime ||
-          state.recent_updates.size() >= kMaxRecentUpdates)) {
+          state.recent_updates.size() >= kMaxRecentUpdates ||
+          RecentUpdateBytes(state) + EncodedBytes(notice) > kMaxRecentUpdateBytes)) {
     state.recent_updates.pop_front();
   }
   notice.source = UpdateSource::kPeer;  // The receivers learn of it from a peer.
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -136,6 +136,16 @@
   }
 }
 
+// Guards against a datagram that is too large to be sent: the entries go out in it.
+TEST_CASE("upstream_longName_rejected", "[platform]") {
+  const std::string field = GENERATE("service", "zone");
+  std::string failure;
+  CHECK(
+      ParseUpstream("i-1", MakeUpstreamRecord(field, '"' + std::string(255, 'n') + '"'), failure));
+  CHECK_FALSE(
+      ParseUpstream("i-1", MakeUpstreamRecord(field, '"' + std::string(256, 'n') + '"'), failure));
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -86,7 +86,8 @@
     options.entry.bounds.fail_closed = false;
     options.front = {"127.0.0.1", front};
     options.ready = {"127.0.0.1", FreePort()};
-    options.peer = {"127.0.0.1", FreePort()};
+    peer = {"127.0.0.1", FreePort()};
+    options.peer = peer;
     return options;
   }
 
@@ -113,6 +114,7 @@
   }
 
   std::uint16_t front{0};
+  Endpoint peer;
   std::uint64_t last_offset{0};
   LogWriter log;
   EntryRuntime runtime;
