Reject entries with an impossible start or sequence

A start or sequence of 9e18 made all later entries of that id look like those of an earlier start, so they were ignored until the process ended: where another writer used the id of a server, the server was lost to all hosts, though it wrote sound entries again. A wrong type counted as a missing field.

Missing fields, null and a cold time that is over still count as 0. A start that is merely some years ahead can't be told from a sound one without trusting the clocks.

--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -146,6 +146,22 @@
       ParseUpstream("i-1", MakeUpstreamRecord(field, '"' + std::string(256, 'n') + '"'), failure));
 }
 
+// Guards against an entry that holds for ever: all later entries seem to be of an earlier start.
+TEST_CASE("upstream_startOrSequenceInvalid_rejected", "[platform]") {
+  std::string failure;
+  REQUIRE(ParseUpstream("i-1", MakeUpstreamRecord("born", "null"), failure));
+  REQUIRE(ParseUpstream("i-1", MakeUpstreamRecord("cold_left_ms", "-0.5"), failure));
+  CHECK_FALSE(ParseUpstream("i-1", MakeUpstreamRecord("born", "-1"), failure));
+  CHECK_FALSE(ParseUpstream("i-1", MakeUpstreamRecord("sequence", "-1"), failure));
+  for (const char* field : {"born", "sequence", "cold_left_ms"}) {
+    for (const std::string number :
+         {"9223372036854775807", "9223372036854775808", "1e18", "\"4\"", "[4]", "1e400"}) {
+      INFO(field << " " << number);
+      CHECK_FALSE(ParseUpstream("i-1", MakeUpstreamRecord(field, number), failure));
+    }
+  }
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
