--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -162,6 +162,17 @@
   }
 }
 
+// Guards against a record of another writer that is used in part: bytes follow its object.
+TEST_CASE("upstream_bytesAfterObject_rejected", "[platform]") {
+  const std::string text = MakeUpstreamRecord("slots", "24");
+  std::string failure;
+  REQUIRE(ParseUpstream("i-1", text + " \n", failure));
+  for (const std::string& rest : {std::string("}"), std::string("x"), std::string(R"({"slots":1})"),
+                                  std::string("\0", 1), std::string("\xff")}) {
+    CHECK_FALSE(ParseUpstream("i-1", text + rest, failure));
+  }
+}
+
 // Guards against a record that crashes all daemons: the JSON reader throws on deep nesting.
 TEST_CASE("anyRecord_deeplyNested_rejected", "[platform]") {
   const std::string nested = R"({"service":)" + std::string(5000, '[');
