Keep log lines readable as text whatever bytes they carry

A key or zone of another writer, or a caller's path, with bytes that are no UTF-8 went into the log as it was. A reader of UTF-8 text then rejects the whole log: a trial of the process test ended so ("'utf-8' codec can't decode byte 0xed"). Line ends were replaced already, so no line could be forged.

logLine_bytesOfNoText_replaced failed before. In a line that is no valid UTF-8, each byte beyond ASCII becomes "?"; lines that are valid stay as they are.

--- a/src/snipeturn/runtime/log_line.cc
+++ b/src/snipeturn/runtime/log_line.cc
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/beast/websocket/detail/utf8_checker.hpp>
 #include <string_view>
 
 namespace snipeturn {
@@ -30,6 +31,13 @@
   std::replace_if(
       fields.begin(), fields.end(),
       [](unsigned char character) { return character < ' ' || character == 0x7f; }, ' ');
+  if (!boost::beast::websocket::detail::check_utf8(fields.data(), fields.size())) {
+    // Ids, paths and keys come from others; one such byte would make the whole log unreadable as
+    // text.
+    std::replace_if(
+        fields.begin(), fields.end(), [](unsigned char character) { return character > 0x7f; },
+        '?');
+  }
   const auto milliseconds = time.time_since_epoch().count() % 1000;
   const std::time_t seconds = std::chrono::system_clock::to_time_t(time);
   return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z {} {} {} {}{}{}\n", fmt::gmtime(seconds),
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -7,6 +7,7 @@
 #include "snipeturn/loop/http_head.h"
 #include "snipeturn/loop/log_writer.h"
 #include "snipeturn/loop/peer_socket.h"
+#include "snipeturn/runtime/log_line.h"
 
 namespace snipeturn::loop {
 namespace {
@@ -237,6 +238,19 @@
   ::close(pipe_ends[1]);
 }
 
+// Guards against a log that no reader of text accepts, because of one byte in a key or a path.
+TEST_CASE("logLine_bytesOfNoText_replaced", "[loop]") {
+  const auto format = [](const std::string& fields) {
+    const std::string line =
+        FormatLogLine({entry::log_events::kSent, fields}, "host-1", WallTime{});
+    return line.substr(line.find("id="));
+  };
+  CHECK(format("id=\xc3\xbc") == "id=\xc3\xbc\n");
+  CHECK(format("id=\xed\xa0\x80 a") == "id=??? a\n");
+  CHECK(format("id=\xff\n") == "id=? \n");
+  CHECK(format("id=\xc3") == "id=?\n");
+}
+
 // Guards against a quarantine that differs between hosts because a report was changed on its way.
 TEST_CASE("crashReport_roundTrip_preserved", "[loop]") {
   using namespace std::chrono_literals;
