Reject ages that are negative or overflow a time

Ages come in records of the hosts' topic, which any process can write, and in datagrams. An age of ms overflows in microseconds and dates the statement in the future; so does a negative age of a list or a configuration. A crash of the future keeps its prompt parts in quarantine for as long as the hosts run, a stated limit can't be replaced, and a list counts as current.

A host with a bad crash report is still known.

--- a/src/snipeturn/loop/crash_report_codec.cc
+++ b/src/snipeturn/loop/crash_report_codec.cc
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <utility>
 
+#include "snipeturn/loop/age_codec.h"
+
 namespace snipeturn::loop {
 namespace internal {
 namespace {
@@ -22,12 +24,13 @@
   entry::ReportedCrash crash;
   crash.id = row[0].asUInt64();
   crash.crash = row[1].asUInt64();
-  crash.age = std::chrono::milliseconds(row[2].asInt64());
+  const auto age = DecodeAge(row[2]);
+  crash.age = age.value_or(std::chrono::milliseconds{0});
   crash.answers_per_second = row[3].asDouble();
   for (const Json::Value& part : row[4]) {
     crash.parts.push_back(part.asUInt64());
   }
-  const bool is_valid = crash.age.count() >= 0 && std::isfinite(crash.answers_per_second) &&
+  const bool is_valid = age && std::isfinite(crash.answers_per_second) &&
                         crash.answers_per_second >= 0 && !crash.parts.empty();
   return is_valid ? std::optional(std::move(crash)) : std::nullopt;
 }
@@ -76,10 +79,14 @@
     report.crashes.push_back(std::move(*crash));
   }
   for (const Json::Value& row : root["answers"]) {
-    if (!row.isArray() || row.size() != internal::kAnswerRowLength || row[1].asInt64() < 0) {
+    if (!row.isArray() || row.size() != internal::kAnswerRowLength) {
+      return std::nullopt;
+    }
+    const auto age = DecodeAge(row[1]);
+    if (!age) {
       return std::nullopt;
     }
-    report.answers.push_back({row[0].asUInt64(), std::chrono::milliseconds(row[1].asInt64())});
+    report.answers.push_back({row[0].asUInt64(), *age});
   }
   if (root.isMember("digest")) {
     report.digest = root["digest"].asUInt64();
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -10,6 +10,7 @@
 #include <utility>
 #include <variant>
 
+#include "snipeturn/loop/age_codec.h"
 #include "snipeturn/loop/crash_report_codec.h"
 #include "snipeturn/loop/upstream_signal_codec.h"
 
@@ -146,10 +147,16 @@
   received.last_update = root["news"].asUInt64();
   received.configuration_offset = root["configuration"].asUInt64();
   if (root.isMember("configuration_age_ms")) {
-    received.configuration_age = std::chrono::milliseconds(root["configuration_age_ms"].asInt64());
+    received.configuration_age = DecodeAge(root["configuration_age_ms"]);
+    if (!received.configuration_age) {
+      return std::nullopt;
+    }
   }
   if (root.isMember("list_age_ms")) {
-    received.list_age = std::chrono::milliseconds(root["list_age_ms"].asInt64());
+    received.list_age = DecodeAge(root["list_age_ms"]);
+    if (!received.list_age) {
+      return std::nullopt;
+    }
   }
   for (const Json::Value& row : root["recent"]) {
     auto update = DecodeListUpdate(row);
@@ -216,13 +223,12 @@
     return message;
   }
   if (root.isMember(kAnsweredKey)) {
-    const std::chrono::milliseconds age(root["configuration_age_ms"].asInt64());
-    if (age < std::chrono::milliseconds{0}) {
-      return std::nullopt;  // A negative age would confirm the configuration for a time in the
-                            // future.
+    const auto age = DecodeAge(root["configuration_age_ms"]);
+    if (!age) {
+      return std::nullopt;
     }
     message.content = entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
-                                                  root["configuration"].asUInt64(), age};
+                                                  root["configuration"].asUInt64(), *age};
     return message;
   }
   if (root.isMember(kSumKey)) {
--- a/src/snipeturn/loop/upstream_signal_codec.cc
+++ b/src/snipeturn/loop/upstream_signal_codec.cc
@@ -3,6 +3,8 @@
 #include <chrono>
 #include <utility>
 
+#include "snipeturn/loop/age_codec.h"
+
 namespace snipeturn::loop {
 namespace internal {
 namespace {
@@ -34,13 +36,14 @@
     }
     entry::ReportedLimit limit;
     limit.id = row[0].asString();
-    limit.age = std::chrono::milliseconds(row[2].asInt64());
+    const auto age = DecodeAge(row[2]);
+    if (!age) {
+      return std::nullopt;
+    }
+    limit.age = *age;
     if (row[1].asDouble() >= 0) {
       limit.requests_per_second = row[1].asDouble();
     }
-    if (limit.age < std::chrono::milliseconds{0}) {
-      return std::nullopt;  // A statement from the future could not be replaced.
-    }
     limits.push_back(std::move(limit));
   }
   return limits;
--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -210,5 +210,18 @@
   CHECK(damaged->crash_report.crashes.empty());
 }
 
+// Guards against a crash that counts for ever: with an overflow, its time lies in the future.
+TEST_CASE("hostRecord_crashTimeOutOfRange_crashReportDropped", "[platform]") {
+  const std::string written =
+      GENERATE("1700000000123", "-9000000000000000000", "9000000000000000000");
+  const std::string age = GENERATE("60", "18446743073709552", "9223372036854775807");
+  const bool is_valid = written == "1700000000123" && age == "60";
+  const auto record =
+      ParseHost(R"({"peer":"10.0.0.1:7200","zone":"z","sequence":1,"written_ms":)" + written +
+                R"(,"crash_report":{"crashes":[[1,2,)" + age + R"(,5.0,[3]]]}})");
+  REQUIRE(record);
+  CHECK(record->crash_report.crashes.size() == (is_valid ? 1 : 0));
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -117,6 +117,27 @@
   CHECK_FALSE(DecodePeerMessage(R"({"host":"h","load":)" + std::string(5000, '[')));
 }
 
+// Guards against statements that count as current for ever: with an overflow of its age, or with a
+// negative one, a statement lies in the future.
+TEST_CASE("peerMessages_ageOutOfRange_rejected", "[loop]") {
+  const std::string message =
+      GENERATE(R"({"host":"h","load":[],"list_age_ms":AGE})",
+               R"({"host":"h","load":[],"configuration_age_ms":AGE})",
+               R"({"host":"h","load":[],"limits":[["plain-1",2.5,AGE]]})",
+               R"({"host":"h","answered_us":1,"configuration":1,"configuration_age_ms":AGE})",
+               R"({"host":"h","crash_report":{"crashes":[[1,2,AGE,1.0,[3]]]}})",
+               R"({"host":"h","crash_report":{"answers":[[1,AGE]]}})");
+  const auto decode = [&message](const std::string& age) {
+    std::string text = message;
+    return DecodePeerMessage(text.replace(text.find("AGE"), 3, age));
+  };
+  REQUIRE(decode("340"));
+  for (const char* age : {"-1", "18446743073709552", "9223372036854775807", "1e300"}) {
+    CAPTURE(message, age);
+    CHECK_FALSE(decode(age));
+  }
+}
+
 TEST_CASE("cellLoad_roundTrip_preserved", "[loop]") {
   entry::CellLoadReceived sum;
   sum.cell = "zone-a/1";
