Ignore a host's own load tables

A record in the hosts' topic that names this host's address, under any key, made the host send its tables to itself. It then counted its own requests twice when it chose upstreams, and itself as another host in its shares of limits, and went on so after the record was gone, since each table renewed the sender.

peer_isThisHost_ownLoadIgnored failed before. Messages that bear the host's own name are dropped before their sender is kept as a peer.

--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -67,8 +67,8 @@
       Log({entry::log_events::kReloadFailed, "metrics=" + *failure});
     }
   }
-  peer_socket_ =
-      std::make_unique<PeerSocket>(context_, options_.peer, [this](PeerMessage&& message) {
+  peer_socket_ = std::make_unique<PeerSocket>(
+      context_, options_.entry.host, options_.peer, [this](PeerMessage&& message) {
         std::visit([this](auto& content) { Apply(std::move(content)); }, message.content);
       });
   if (peer_socket_->failure()) {
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -368,9 +368,10 @@
 }
 
 PeerSocket::PeerSocket(boost::asio::io_context& context,
+                       std::string host,
                        const Endpoint& local,
                        std::function<void(PeerMessage&&)> on_message)
-    : socket_(context), on_message_(std::move(on_message)) {
+    : host_(std::move(host)), socket_(context), on_message_(std::move(on_message)) {
   boost::system::error_code error;
   const auto address = boost::asio::ip::make_address(local.address, error);
   if (!error) {
@@ -403,7 +404,9 @@
                          if (error) {
                            break;
                          }
-                         if (auto message = DecodePeerMessage({buffer_.data(), count})) {
+                         auto message = DecodePeerMessage({buffer_.data(), count});
+                         // A record of another writer may name this host's address.
+                         if (message && message->host != host_) {
                            if (!message->is_forwarded) {
                              recent_senders_[message->host] = from;
                              peers_.emplace(message->host, from);
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -64,9 +64,11 @@
  public:
   /// @brief Opens the socket; see `failure`.
   /// @param context The event loop.
+  /// @param host Name of this host, whose own messages are ignored.
   /// @param local Address and port to bind.
   /// @param on_message Receives the peers' messages.
   PeerSocket(boost::asio::io_context& context,
+             std::string host,
              const Endpoint& local,
              std::function<void(PeerMessage&&)> on_message);
 
@@ -96,6 +98,7 @@
   /// Largest datagram: a table of some hundred upstreams with as many updates.
   static constexpr std::size_t kMaxDatagramBytes = 32768;
 
+  std::string host_;
   boost::asio::ip::udp::socket socket_;
   std::function<void(PeerMessage&&)> on_message_;
   std::map<std::string, boost::asio::ip::udp::endpoint> peers_;
--- a/test/snipeturn/loop/entry_runtime_peers_test.cc
+++ b/test/snipeturn/loop/entry_runtime_peers_test.cc
@@ -5,6 +5,15 @@
 namespace snipeturn::loop {
 namespace {
 
+// Guards against a host that counts its own load twice, and itself as another host: a record of
+// another writer names its address.
+TEST_CASE_METHOD(RuntimeFixture, "peer_isThisHost_ownLoadIgnored", "[loop]") {
+  runtime.SetPeers({{"other", peer}});
+  RunFor(1200ms);
+  CHECK(runtime.state().peers.empty());
+  CHECK(runtime.state().hosts <= 1);
+}
+
 // Guards against tables that no host receives, because updates with long names don't fit into one
 // datagram.
 TEST_CASE_METHOD(RuntimeFixture, "updates_longNames_tableFitsDatagram", "[loop]") {
