--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -114,6 +114,7 @@
 class World:
     """The simulated platform, the daemons, and the observations that the checks use."""
 
+    store_type = Store
     drain_s = 1.0
     # Time that a plain service takes for a request.
     call_s = 0.02
@@ -193,7 +194,7 @@
                 await self.store.put("keyed.servers", upstream.name, upstream.entry())
 
     async def start(self, daemons):
-        self.store = await Store().start()
+        self.store = await self.store_type().start()
         self.store_proxy = await Proxy(self.store.port).start()
         await self.configure()
         for is_engine in (True, True, True, False, False):
