--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -146,6 +146,18 @@
       ParseUpstream("i-1", MakeUpstreamRecord(field, '"' + std::string(256, 'n') + '"'), failure));
 }
 
+// Guards against pauses of all hosts: a large entry, which is parsed again with each heartbeat.
+TEST_CASE("upstream_veryLargeRecord_rejected", "[platform]") {
+  const auto pad = [](std::size_t bytes) {
+    const std::string text = MakeUpstreamRecord("sequence", "4,\"x\":[1]");
+    return text + std::string(bytes - text.size(), ' ');
+  };
+  std::string failure;
+  CHECK(ParseUpstream("i-1", pad(32768), failure));
+  CHECK_FALSE(ParseUpstream("i-1", pad(32769), failure));
+  CHECK(failure == "too large");
+}
+
 // Guards against an entry that holds for ever: all later entries seem to be of an earlier start.
 TEST_CASE("upstream_startOrSequenceInvalid_rejected", "[platform]") {
   std::string failure;
