Say of each process of a failed case whether it ended, is stopped or hangs

The log of process_pause_test's one failure shows a host that logs nothing more after its second pause, but not whether it had ended, was still stopped or hung. A failed case now prints the exit status of each process, or the state and system call of each of its threads, and a host that ended while it was stopped fails the case at once with its exit status in place of "not within 30 s".

--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -131,6 +131,18 @@
         connection.close()
 
 
+def read_thread_state(folder):
+    """Returns the name of a thread, and its scheduler state with its current system call."""
+    with open(f"{folder}/stat", encoding="utf-8", errors="replace") as file:
+        name, _, rest = file.read().partition("(")[2].rpartition(")")
+    try:
+        with open(f"{folder}/syscall", encoding="utf-8") as file:
+            call = file.read().split()[0]
+    except (OSError, IndexError) as error:
+        call = repr(error)
+    return name, f"state={rest.split()[0]} syscall={call}"
+
+
 class Process:
     """A child process; signals go only to the process that this object started."""
 
@@ -161,6 +173,15 @@
     def terminate(self):
         self.signal(signal.SIGTERM)
 
+    def pause(self):
+        """Stops the process; `resume` continues it."""
+        self.signal(signal.SIGSTOP)
+
+    def resume(self):
+        """Continues the process; raises AssertionError if it ended while it was stopped."""
+        assert self.running, f"{self.name} ended while it was stopped: {self.describe_state()}"
+        self.signal(signal.SIGCONT)
+
     def wait(self, timeout):
         return self.child.wait(timeout)
 
@@ -175,6 +196,25 @@
         except subprocess.TimeoutExpired:
             self.kill()
 
+    def describe_state(self):
+        """Returns the exit status, or the state and current system call of each thread.
+
+        Tells a process that died without a message from one that is stopped or that hangs.
+        """
+        if self.child is None:
+            return "not started"
+        if not self.running:
+            return f"exited with status {self.child.returncode}"
+        threads = []
+        folder = f"/proc/{self.child.pid}/task"
+        try:
+            for task in sorted(os.listdir(folder), key=int):
+                name, state = read_thread_state(f"{folder}/{task}")
+                threads.append(f"{task} {name} {state}")
+        except OSError as error:
+            threads.append(repr(error))
+        return "\n".join([f"runs as pid {self.child.pid}; threads:", *threads])
+
     def log_tail(self, lines=15):
         try:
             with open(self.log_path, encoding="utf-8", errors="replace") as log:
@@ -302,12 +342,6 @@
         super().__init__(name, [os.path.join(build, "snipeturnd"), f"--config={self.config_path}"],
                          folder)
 
-    def pause(self):
-        self.signal(signal.SIGSTOP)
-
-    def resume(self):
-        self.signal(signal.SIGCONT)
-
     def healthy(self):
         return send("GET", self.port, "/healthz", timeout=2).status == 200
 
@@ -518,9 +552,8 @@
 
     def print_logs(self):
         for process in self.all_processes():
-            tail = process.log_tail()
-            if tail:
-                print(f"-- {process.name}\n{tail}", file=sys.stderr)
+            print(f"-- {process.name}: {process.describe_state()}\n{process.log_tail()}",
+                  file=sys.stderr)
 
     def ctl(self, *arguments, host=0, check=True, timeout=30):
         """Runs snipeturnctl; returns its exit code and its JSON output."""
