Log when snipeturnd was held up and when one of its parts stalls

A thread of its own now reports that the whole process was held up (106), and that a part exceeds its bound and goes on again (107, 108): the reducer's queue, reads of the log, the host list, and the pools whose exchanges have time-outs. Streams, calls and messages to peers are left out, as they may last. No decision depends on it. held_up_test fails on the programs before this commit (no such line within 10 s) and passes now; unit tests [runtime] pass.

--- a/src/snipeturn/base/log_catalogue.h
+++ b/src/snipeturn/base/log_catalogue.h
@@ -11,6 +11,9 @@
 inline constexpr LogEvent kStopped{103, "stopped", LogLevel::kInfo};
 inline constexpr LogEvent kListening{104, "listening", LogLevel::kInfo};
 inline constexpr LogEvent kCallerTooSlow{105, "caller_too_slow", LogLevel::kWarning};
+inline constexpr LogEvent kHeldUp{106, "held_up", LogLevel::kWarning};
+inline constexpr LogEvent kPartStalled{107, "part_stalled", LogLevel::kWarning};
+inline constexpr LogEvent kPartResumed{108, "part_resumed", LogLevel::kInfo};
 
 inline constexpr LogEvent kSettingsReady{201, "settings_ready", LogLevel::kInfo};
 inline constexpr LogEvent kSettingsGap{202, "settings_gap", LogLevel::kWarning};
--- a/src/snipeturn/runtime/event_queue.h
+++ b/src/snipeturn/runtime/event_queue.h
@@ -31,15 +31,24 @@
   /// @return The event, or nothing when `due` has passed or the queue is closed and empty.
   [[nodiscard]] std::optional<Event> Pop(std::optional<TimePoint> due);
 
+  /// @brief Returns since when events have waited without a Pop().
+  /// @return The time of the last Pop() or of the arrival of the oldest event, whichever is later;
+  /// nothing when the queue is empty.
+  [[nodiscard]] std::optional<TimePoint> waiting_since() const;
+
   /// Wakes all waiting threads; later calls no longer block.
   void Close();
 
  private:
+  /// Adds an event; the caller holds the lock.
+  void Add(Event event);
+
   std::size_t soft_limit_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   std::condition_variable filled_;
   std::condition_variable drained_;
   std::deque<Event> events_;
+  TimePoint waiting_since_{};
   bool is_closed_{false};
 };
 
--- a/src/snipeturn/runtime/fwd.h
+++ b/src/snipeturn/runtime/fwd.h
@@ -12,6 +12,7 @@
 class MetricsRegistry;
 class PeerSender;
 class Runtime;
+class StallWatch;
 class WorkerPool;
 struct ReducerPort;
 
--- a/src/snipeturn/runtime/pollers.cc
+++ b/src/snipeturn/runtime/pollers.cc
@@ -39,6 +39,24 @@
   return changed_.wait_for(lock, time, [this] { return is_set_; });
 }
 
+void ExchangeTimes::Begin(const std::string& name) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  began_[name] = ReadMonotonic();
+}
+
+void ExchangeTimes::End(const std::string& name) {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  began_.erase(name);
+}
+
+std::optional<TimePoint> ExchangeTimes::oldest() const {
+  const std::lock_guard<std::mutex> lock(mutex_);
+  const auto oldest = std::min_element(
+      began_.begin(), began_.end(),
+      [](const auto& left, const auto& right) { return left.second < right.second; });
+  return oldest == began_.end() ? std::nullopt : std::make_optional(oldest->second);
+}
+
 LogPollers::LogPollers(Endpoint log,
                        std::vector<std::string> streams,
                        EventQueue& events,
@@ -64,7 +82,9 @@
   while (!stop_.is_set()) {
     std::string reason;
     const TimePoint began = ReadMonotonic();
+    reads_.Begin(stream);
     auto read = ReadRecords(log_, query, began, reason);
+    reads_.End(stream);
     if (read.has_value() != is_reachable) {
       is_reachable = read.has_value();
       on_state_(stream, is_reachable, reason);
@@ -96,11 +116,13 @@
 
 void HostListPoller::Poll() {
   do {
+    exchange_.Begin("host_list");
     RegisterHost(log_, self_());
     std::string reason;
     if (auto list = ReadHostList(log_, reason)) {
       events_.Post(std::move(*list));
     }
+    exchange_.End("host_list");
   } while (!stop_.WaitFor(internal::kHostListInterval));
 }
 
--- a/src/snipeturn/runtime/pollers.h
+++ b/src/snipeturn/runtime/pollers.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -36,6 +37,19 @@
   bool is_set_{false};
 };
 
+/// Start times of the exchanges that are in progress, by name. Thread-safe.
+class ExchangeTimes {
+ public:
+  void Begin(const std::string& name);
+  void End(const std::string& name);
+  /// @brief Returns the start of the oldest exchange, or nothing when none is in progress.
+  [[nodiscard]] std::optional<TimePoint> oldest() const;
+
+ private:
+  mutable std::mutex mutex_;
+  std::map<std::string, TimePoint> began_;
+};
+
 /// Called when a stream of the log becomes unreachable or reachable again.
 using LogStateHandler =
     std::function<void(const std::string& stream, bool is_reachable, const std::string& reason)>;
@@ -51,12 +65,16 @@
   LogPollers& operator=(const LogPollers&) = delete;
   ~LogPollers();
 
+  /// @brief Returns when the oldest read in progress began, or nothing.
+  [[nodiscard]] std::optional<TimePoint> busy_since() const { return reads_.oldest(); }
+
  private:
   void Poll(const std::string& stream);
 
   Endpoint log_;
   EventQueue& events_;
   LogStateHandler on_state_;
+  ExchangeTimes reads_;
   StopSignal stop_;
   std::vector<std::thread> threads_;
 };
@@ -72,12 +90,16 @@
   HostListPoller& operator=(const HostListPoller&) = delete;
   ~HostListPoller();
 
+  /// @brief Returns when the renewal and read in progress began, or nothing.
+  [[nodiscard]] std::optional<TimePoint> busy_since() const { return exchange_.oldest(); }
+
  private:
   void Poll();
 
   Endpoint log_;
   std::function<ListedHost()> self_;
   EventQueue& events_;
+  ExchangeTimes exchange_;
   StopSignal stop_;
   std::thread thread_;
 };
--- a/src/snipeturn/runtime/runtime.cc
+++ b/src/snipeturn/runtime/runtime.cc
@@ -21,6 +21,7 @@
 #include "snipeturn/runtime/metrics.h"
 #include "snipeturn/runtime/peer_sender.h"
 #include "snipeturn/runtime/request_reader.h"
+#include "snipeturn/runtime/stall_watch.h"
 #include "snipeturn/runtime/throttle.h"
 #include "snipeturn/runtime/worker_pool.h"
 #include "snipeturn/transport/http_client.h"
@@ -41,6 +42,10 @@
 // An operator may wait for an offset for up to 60 s; 10 s are a reserve.
 constexpr std::chrono::milliseconds kMaxOperatorResponseWait{70000};
 constexpr std::chrono::milliseconds kExitPollInterval{10};
+// The reducer's steps take milliseconds.
+constexpr std::chrono::milliseconds kMaxReducerStep{1000};
+// The watched exchanges end after 4 s at most: the two exchanges of the host list have 2 s each.
+constexpr std::chrono::milliseconds kMaxWatchedExchange{5000};
 
 std::uint64_t RandomNumber() {
   std::random_device device;
@@ -95,6 +100,7 @@
 
   ~Implementation() {
     is_exiting_ = true;
+    stall_watch_.reset();
     log_pollers_.reset();
     host_poller_.reset();
     StopLoop();
@@ -122,6 +128,8 @@
         });
     host_poller_ = std::make_unique<HostListPoller>(
         options_.log, [this] { return DescribeSelf(); }, events_);
+    stall_watch_ = std::make_unique<StallWatch>(
+        WatchedParts(), [this](const EmitLog& line) { log_sink_.Write(line); });
     return true;
   }
 
@@ -422,6 +430,23 @@
                             fmt::format("stream={} reason=\"{}\"", stream, reason)});
   }
 
+  /// The parts whose work has an upper limit of time. Streams, calls and messages to peers are left
+  /// out: they may last as long as their callers wait, or as long as messages come.
+  std::vector<WatchedPart> WatchedParts() {
+    std::vector<WatchedPart> parts{
+        {"reducer", internal::kMaxReducerStep, [this] { return events_.waiting_since(); }},
+        {"log_reads", internal::kMaxWatchedExchange, [this] { return log_pollers_->busy_since(); }},
+        {"host_list", internal::kMaxWatchedExchange,
+         [this] { return host_poller_->busy_since(); }}};
+    for (const WorkerPool* pool :
+         {&attempts_.cancels(), &load_pollers_.pool(), static_cast<const WorkerPool*>(&appends_),
+          static_cast<const WorkerPool*>(&probes_), &log_sink_.pool()}) {
+      parts.push_back(
+          {pool->name(), internal::kMaxWatchedExchange, [pool] { return pool->busy_since(); }});
+    }
+    return parts;
+  }
+
   ListedHost DescribeSelf() {
     return ListedHost{self_, options_.listen, options_.zone, is_draining_};
   }
@@ -480,6 +505,7 @@
   HttpServer server_;
   std::unique_ptr<LogPollers> log_pollers_;
   std::unique_ptr<HostListPoller> host_poller_;
+  std::unique_ptr<StallWatch> stall_watch_;
   std::thread loop_;
 };
 
--- a/src/snipeturn/runtime/worker_pool.cc
+++ b/src/snipeturn/runtime/worker_pool.cc
@@ -3,11 +3,14 @@
 #include <chrono>
 #include <condition_variable>
 #include <deque>
+#include <list>
 #include <mutex>
 #include <system_error>
 #include <thread>
 #include <utility>
 
+#include "snipeturn/runtime/clock.h"
+
 namespace snipeturn {
 namespace internal {
 namespace {
@@ -22,6 +25,8 @@
   std::condition_variable filled;
   std::condition_variable ended;
   std::deque<Job> jobs;
+  /// Start times of the running jobs, oldest first.
+  std::list<TimePoint> starts;
   std::size_t threads{0};
   std::size_t idle{0};
   std::uint64_t refused{0};
@@ -69,18 +74,26 @@
   return PoolUsage{shared_->threads - shared_->idle, shared_->jobs.size(), shared_->refused};
 }
 
+std::optional<TimePoint> WorkerPool::busy_since() const {
+  const std::lock_guard<std::mutex> lock(shared_->mutex);
+  return shared_->starts.empty() ? std::nullopt : std::make_optional(shared_->starts.front());
+}
+
 void WorkerPool::RunJobs(const std::shared_ptr<Shared>& shared) {
   std::unique_lock<std::mutex> lock(shared->mutex);
   const auto is_ready = [&shared] { return shared->is_stopping || !shared->jobs.empty(); };
+  std::list<TimePoint>::iterator start;
   while (shared->filled.wait_for(lock, internal::kIdleTimeout, is_ready) && !shared->jobs.empty()) {
     {
       const Job job = std::move(shared->jobs.front());
       shared->jobs.pop_front();
       --shared->idle;
+      start = shared->starts.insert(shared->starts.end(), ReadMonotonic());
       lock.unlock();
       job();
     }
     lock.lock();
+    shared->starts.erase(start);
     ++shared->idle;
   }
   --shared->idle;
--- a/src/snipeturn/runtime/worker_pool.h
+++ b/src/snipeturn/runtime/worker_pool.h
@@ -4,8 +4,11 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
+#include "snipeturn/base/time.h"
+
 namespace snipeturn {
 
 /// Snapshot of a pool's usage.
@@ -39,6 +42,8 @@
 
   [[nodiscard]] const std::string& name() const noexcept { return name_; }
   [[nodiscard]] PoolUsage usage() const;
+  /// @brief Returns when the oldest running job started, or nothing when none runs.
+  [[nodiscard]] std::optional<TimePoint> busy_since() const;
 
  private:
   struct Shared;
