--- a/src/snipeturn/settings/options_file.cc
+++ b/src/snipeturn/settings/options_file.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <utility>
 
+#include "snipeturn/base/json_syntax.h"
 #include "snipeturn/settings/document.h"
 
 namespace snipeturn {
@@ -106,31 +107,42 @@
   Json::CharReaderBuilder::strictMode(&builder.settings_);
   const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
   Json::Value json;
+  std::string messages;
   // The parser throws when the nesting exceeds its limit.
   try {
-    if (reader->parse(text.data(), text.data() + text.size(), &json, &problem)) {
+    if (reader->parse(text.data(), text.data() + text.size(), &json, &messages)) {
       return json;
     }
+    problem = DescribeSyntaxError(messages);
   } catch (const Json::Exception& error) {
     problem = error.what();
   }
-  std::replace(problem.begin(), problem.end(), '\n', ' ');
   return std::nullopt;
 }
 
-std::nullopt_t Fail(OptionsFailure& failure, OptionsReason reason, DocumentFault fault) {
+std::nullopt_t Fail(OptionsFailure& failure,
+                    OptionsReason reason,
+                    std::vector<DocumentFault> faults) {
   failure.reason = reason;
-  failure.fault = std::move(fault);
+  failure.faults = std::move(faults);
   return std::nullopt;
 }
 
-std::optional<DocumentFault> CheckAddresses(const Json::Value& json) {
+/// Finds addresses that have the pattern of the schema and yet are none.
+void FindAddressFaults(const Json::Value& json, std::vector<DocumentFault>& faults) {
   for (const char* name : {"listen", "log"}) {
-    if (auto fault = CheckAddress(json[name]["address"], fmt::format("/{}/address", name))) {
-      return fault;
+    const std::string path = fmt::format("/{}/address", name);
+    const bool is_known_bad =
+        std::any_of(faults.begin(), faults.end(),
+                    [&path](const DocumentFault& fault) { return fault.path == path; });
+    if (is_known_bad || !json.isObject() || !json[name].isObject() ||
+        !json[name]["address"].isString()) {
+      continue;
+    }
+    if (auto fault = CheckAddress(json[name]["address"], path)) {
+      faults.push_back(std::move(*fault));
     }
   }
-  return std::nullopt;
 }
 
 }  // namespace internal
@@ -138,20 +150,19 @@
 std::optional<Options> ParseOptions(std::string_view text, OptionsFailure& failure) {
   if (text.size() > kMaxOptionsSize) {
     return internal::Fail(failure, OptionsReason::kTooLarge,
-                          {"/", fmt::format("the configuration has {} bytes", text.size()),
-                           fmt::format("at most {} bytes", kMaxOptionsSize)});
+                          {{"/", fmt::format("the configuration has {} bytes", text.size()),
+                            fmt::format("at most {} bytes", kMaxOptionsSize)}});
   }
   std::string problem;
   const auto json = internal::ParseStrictJson(text, problem);
   if (!json) {
     return internal::Fail(failure, OptionsReason::kNotJson,
-                          {"/", "the configuration is not JSON: " + problem, "one JSON object"});
-  }
-  if (auto fault = CheckSchema(SchemaKind::kDaemon, *json, "/")) {
-    return internal::Fail(failure, OptionsReason::kInvalid, std::move(*fault));
+                          {{"/", "the configuration is not JSON: " + problem, "one JSON object"}});
   }
-  if (auto fault = internal::CheckAddresses(*json)) {
-    return internal::Fail(failure, OptionsReason::kInvalid, std::move(*fault));
+  auto faults = FindSchemaFaults(SchemaKind::kDaemon, *json, "/");
+  internal::FindAddressFaults(*json, faults);
+  if (!faults.empty()) {
+    return internal::Fail(failure, OptionsReason::kInvalid, std::move(faults));
   }
   return internal::MakeOptions(*json);
 }
@@ -163,7 +174,7 @@
   stream.read(text.data(), static_cast<std::streamsize>(text.size()));
   if (!stream.is_open() || stream.bad()) {
     return internal::Fail(failure, OptionsReason::kUnreadable,
-                          {"/", fmt::format("the file \"{}\" can't be read", file), ""});
+                          {{"/", fmt::format("the file \"{}\" can't be read", file), ""}});
   }
   text.resize(static_cast<std::size_t>(stream.gcount()));
   return ParseOptions(text, failure);
--- a/src/snipeturn/settings/options_file.h
+++ b/src/snipeturn/settings/options_file.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "snipeturn/settings/options.h"
 #include "snipeturn/settings/schema.h"
@@ -16,11 +17,11 @@
 /// Why options could not be read.
 enum class OptionsReason : std::uint8_t { kNone, kUnreadable, kTooLarge, kNotJson, kInvalid };
 
-/// Why options could not be read, with the invalid value.
+/// Why options could not be read.
 struct OptionsFailure {
   OptionsReason reason{OptionsReason::kNone};
-  /// The invalid value's path within the file and its allowed values.
-  DocumentFault fault;
+  /// Paths of the invalid values within the file, with what is allowed there; at least one.
+  std::vector<DocumentFault> faults;
 };
 
 /// @brief Reads a daemon's options from JSON text that follows schema/daemon.json.
--- a/src/snipeturn/settings/schema.cc
+++ b/src/snipeturn/settings/schema.cc
@@ -4,10 +4,13 @@
 #include <json/reader.h>
 #include <json/writer.h>
 
+#include <algorithm>
 #include <array>
 #include <cassert>
+#include <iterator>
 #include <memory>
 #include <regex>
+#include <set>
 #include <string_view>
 #include <valijson/adapters/jsoncpp_adapter.hpp>
 #include <valijson/schema.hpp>
@@ -97,28 +100,42 @@
   return fmt::format("{}", fmt::join(names, ", "));
 }
 
-DocumentFault DescribeFault(const ValueLocation& location) {
+/// Describes the unknown and the missing keys of an object.
+std::vector<DocumentFault> DescribeKeys(const ValueLocation& location) {
   const Json::Value& value = *location.value;
   const Json::Value& schema = *location.schema;
-  if (value.isObject()) {
-    for (const std::string& name : value.getMemberNames()) {
-      if (FindMemberSchema(schema, name) == nullptr) {
-        return {location.path, fmt::format("unknown key {}", ShortJson(name)), ListMembers(schema)};
-      }
+  std::vector<DocumentFault> faults;
+  if (!value.isObject()) {
+    return faults;
+  }
+  for (const std::string& name : value.getMemberNames()) {
+    if (FindMemberSchema(schema, name) == nullptr) {
+      faults.push_back(
+          {location.path, fmt::format("unknown key {}", ShortJson(name)), ListMembers(schema)});
     }
-    for (const Json::Value& name : schema["required"]) {
-      if (!value.isMember(name.asString())) {
-        const Json::Value& member = schema["properties"][name.asString()];
-        return {location.path, fmt::format("the key \"{}\" is missing", name.asString()),
-                member["description"].asString()};
-      }
+  }
+  for (const Json::Value& name : schema["required"]) {
+    if (!value.isMember(name.asString())) {
+      const Json::Value& member = schema["properties"][name.asString()];
+      faults.push_back({location.path, fmt::format("the key \"{}\" is missing", name.asString()),
+                        member["description"].asString()});
     }
   }
+  return faults;
+}
+
+DocumentFault DescribeValue(const ValueLocation& location) {
+  const Json::Value& schema = *location.schema;
   // Secrets (writeOnly in the schema) must not appear in messages, which reach logs and terminals.
-  const std::string shown = schema["writeOnly"].asBool() ? "the value" : ShortJson(value);
+  const std::string shown = schema["writeOnly"].asBool() ? "the value" : ShortJson(*location.value);
   return {location.path, fmt::format("{} is not allowed", shown), schema["description"].asString()};
 }
 
+DocumentFault DescribeFault(const ValueLocation& location) {
+  const auto keys = DescribeKeys(location);
+  return keys.empty() ? DescribeValue(location) : keys.front();
+}
+
 }  // namespace internal
 
 std::string ToString(const DocumentFault& fault) {
@@ -144,6 +161,39 @@
   return internal::DescribeFault(internal::Locate(document, parsed.json, path, first.context));
 }
 
+std::vector<DocumentFault> FindSchemaFaults(SchemaKind kind,
+                                            const Json::Value& document,
+                                            const std::string& path) {
+  const internal::ParsedSchema& parsed = internal::FindSchema(kind);
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  std::vector<DocumentFault> faults;
+  if (validator.validate(parsed.schema, valijson::adapters::JsonCppAdapter(document), &results)) {
+    return faults;
+  }
+  std::set<std::vector<std::string>> described;
+  valijson::ValidationResults::Error error;
+  while (results.popError(error)) {
+    // A value has one error for each rule that it breaks.
+    if (!described.insert(error.context).second) {
+      continue;
+    }
+    // valijson reports the containers of an invalid value as invalid too, after the value itself.
+    const bool contains_fault =
+        std::any_of(described.begin(), described.end(), [&error](const auto& context) {
+          return context.size() > error.context.size() &&
+                 std::equal(error.context.begin(), error.context.end(), context.begin());
+        });
+    const auto location = internal::Locate(document, parsed.json, path, error.context);
+    auto keys = internal::DescribeKeys(location);
+    if (keys.empty() && !contains_fault) {
+      keys.push_back(internal::DescribeValue(location));
+    }
+    std::move(keys.begin(), keys.end(), std::back_inserter(faults));
+  }
+  return faults;
+}
+
 const char* SchemaText(SchemaKind kind) noexcept {
   switch (kind) {
     case SchemaKind::kDaemon:
--- a/src/snipeturn/settings/schema.h
+++ b/src/snipeturn/settings/schema.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipeturn {
 
@@ -34,6 +35,15 @@
                                                        const Json::Value& document,
                                                        const std::string& path);
 
+/// @brief Validates a document against its schema.
+/// @param kind The schema.
+/// @param document The document.
+/// @param path Path of the document, the prefix of the faults' paths.
+/// @return All faults; those of a value come before those of the values that contain it.
+[[nodiscard]] std::vector<DocumentFault> FindSchemaFaults(SchemaKind kind,
+                                                          const Json::Value& document,
+                                                          const std::string& path);
+
 /// @brief Returns the text of a schema, which is embedded in the program.
 /// @param kind The schema.
 /// @return The JSON text.
--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -42,22 +42,41 @@
   -h --help        Show this text.
   --version        Show the version.
 
-Exit codes: 0 after a graceful shutdown, 1 when the settings are invalid or the daemon can't
-listen, 2 for wrong usage.
+Exit codes: 0 after a graceful shutdown or when --check finds at most unknown fields, which are
+ignored; 1 when the settings are invalid or the daemon can't listen; 2 for wrong usage.
 )";
 
 /// Period of checks whether the settings file has changed, because a change may come without
 /// SIGHUP.
 constexpr std::chrono::seconds kSettingsPollInterval{1};
 
-std::optional<platform::Settings> ReadSettings(const std::string& path, std::string& failure) {
+platform::ParsedSettings ReadSettings(const std::string& path) {
   std::ifstream file(path);
   if (!file) {
-    failure = "can't open the file";
-    return std::nullopt;
+    platform::ParsedSettings unreadable;
+    unreadable.faults.push_back(
+        {platform::SettingsFaultEffect::kRefused, "", "can't open the file"});
+    return unreadable;
   }
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
-  return platform::ParseSettings(text, failure);
+  return platform::ParseSettings(text);
+}
+
+/// Prints the faults of the settings, one a line, unknown fields only with `warn_of_unknown`.
+/// Returns whether there are faults other than unknown fields.
+bool PrintFaults(const std::string& path,
+                 const std::vector<platform::SettingsFault>& faults,
+                 bool warn_of_unknown) {
+  bool has_errors = false;
+  for (const platform::SettingsFault& fault : faults) {
+    const bool is_unknown = fault.effect == platform::SettingsFaultEffect::kIgnored;
+    has_errors |= !is_unknown;
+    if (!is_unknown || warn_of_unknown) {
+      fmt::print(stderr, "snipeturn_entry: {}: {}{}\n", path, is_unknown ? "warning: " : "",
+                 ToString(fault));
+    }
+  }
+  return has_errors;
 }
 
 timespec ModificationTime(const std::string& path) {
@@ -125,16 +144,19 @@
 
   void Reload() {
     settings_time_ = ModificationTime(path_);
-    std::string failure;
-    const auto settings = ReadSettings(path_, failure);
+    const auto [settings, faults] = ReadSettings(path_);
     if (!settings) {
-      runtime_.Log({entry::log_events::kReloadFailed, fmt::format("reason={}", failure)});
+      runtime_.Log({entry::log_events::kReloadFailed,
+                    fmt::format("reason=\"{}\"",
+                                JoinFaults(faults, platform::SettingsFaultEffect::kRefused))});
       return;
     }
     follower_.SetStore(settings->store);
     runtime_.Apply(entry::OptionsChanged{settings->runtime.entry.bounds});
     runtime_.Log({entry::log_events::kReloaded,
-                  fmt::format("store={}:{}", settings->store.address, settings->store.port)});
+                  fmt::format("store={}:{} defaults_used=\"{}\"", settings->store.address,
+                              settings->store.port,
+                              JoinFaults(faults, platform::SettingsFaultEffect::kDefaultUsed))});
   }
 
   std::string path_;
@@ -157,13 +179,13 @@
   const std::string path = parsed->at("--settings")      ? parsed->at("--settings").asString()
                            : from_environment != nullptr ? from_environment
                                                          : "";
-  std::string failure;
-  const auto settings = ReadSettings(path, failure);
-  if (!settings) {
-    fmt::print(stderr, "snipeturn_entry: {}: {}\n", path, failure);
+  const bool is_check = parsed->at("--check").asBool();
+  const auto [settings, faults] = ReadSettings(path);
+  const bool has_errors = PrintFaults(path, faults, is_check);
+  if (!settings || (is_check && has_errors)) {
     return 1;
   }
-  if (parsed->at("--check").asBool()) {
+  if (is_check) {
     fmt::print("{}: valid\n", path);
     return 0;
   }
--- a/src/snipeturnd/main.cc
+++ b/src/snipeturnd/main.cc
@@ -32,8 +32,9 @@
   -h --help      Show this text.
   --version      Show the version.
 
-Exit codes: 0 after a graceful shutdown, 1 when the file is invalid or the
-daemon can't listen, 2 for wrong usage.
+Exit codes: 0 after a graceful shutdown or when --check finds no fault, 1 when
+the file is invalid (each invalid value is named) or the daemon can't listen,
+2 for wrong usage.
 )";
 
 /// Blocks SIGTERM and SIGINT in this thread and in those started later; sigwait() receives them.
@@ -82,7 +83,9 @@
   OptionsFailure failure;
   const std::optional<Options> options = ReadOptionsFile(path, failure);
   if (!options) {
-    fmt::print(stderr, "snipeturnd: {}: {}\n", path, ToString(failure.fault));
+    for (const DocumentFault& fault : failure.faults) {
+      fmt::print(stderr, "snipeturnd: {}: {}\n", path, ToString(fault));
+    }
     return 1;
   }
   if (parsed->at("--check").asBool()) {
