Judge streams at planned stops in the soak, with engines of drawn speeds

Now a stream that was sent after its daemon's SIGTERM, ran at an engine and ended without its last event or with a 5xx other than 503 is a failure, unless its engine was killed or its proxy disturbed, its daemon killed or paused, or its time limit reached. Those sent before SIGTERM are counted. Callers stay with a stopping daemon until its process is gone, and each stop has eight more streams on connections that were opened before it. Engines get drawn speeds, which may change. New faults: further SIGTERM and SIGHUP during a stop, SIGSTOP before SIGTERM, stops of several daemons in series and together. Plain calls are judged as before, also on connections that were opened during the stop; a pause that ended before the call was sent is no excuse any more.

--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -162,6 +162,15 @@
         self.told_leaving, self.pauses = {}, {}
         self.fault = None
         self.generations = {}
+        self.killed_at = 0.0
+        self.draw_speed()
+
+    def draw_speed(self):
+        self.first_event_s, self.event_s = self.world.draw_speed()
+
+    def kill(self):
+        self.killed_at = time.monotonic()
+        super().kill()
 
     def entry(self):
         self.sequence += 1
@@ -260,6 +269,7 @@
 
     async def generate(self, writer, fields):
         request = fields["request-id"]
+        self.world.engines_by_request.setdefault(request, []).append(self)
         if "kv-from" in fields:
             handle = fields["kv-from"].partition("/")[2]
             generation = self.world.kv_copies.pop(handle, None)
@@ -274,7 +284,7 @@
             event = 0
         generation["stopped"] = False
         self.generations[request] = generation
-        await asyncio.sleep(self.world.first_event_s)
+        await asyncio.sleep(self.first_event_s)
         writer.write(b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
                      b"Transfer-Encoding: chunked\r\nRequest-Id: " + request.encode() +
                      b"\r\nResponse-Stamp: " + self.name.encode() +
@@ -288,7 +298,7 @@
             data = f"id: {event}\ndata: {generation['id']}\n\n".encode()
             writer.write(f"{len(data):x}\r\n".encode() + data + b"\r\n")
             await writer.drain()
-            await asyncio.sleep(self.world.event_s)
+            await asyncio.sleep(self.event_s)
         writer.write(b"0\r\n\r\n")
         self.generations.pop(request, None)
         return True
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -23,10 +23,18 @@
 KEYS = ("key-1", "key-2")
 # Time after which no daemon may accept a revoked key, in seconds.
 REVOKE_S = 3.0
+# Time limit that callers send, and its part that counts as the whole: an answer may come earlier.
+DEADLINE_S, DEADLINE_SHARE = 5.0, 0.95
+# Time to the first event and between events, in seconds, of the kinds of engines. A stop with the
+# grace period of the soak can end all streams of the first kind and hardly any of the last.
+ENGINE_SPEEDS = ((0.03, 0.01), (0.4, 0.03), (1.2, 0.05), (2.0, 0.2))
+# Streams that are sent at each planned stop on connections that were opened before it.
+LATE_STREAMS = 8
 # Seeds that failed once, with the cause; they run unless --seeds names others.
 REGRESSIONS = {
     "1": "DRAIN: a stopped daemon sent a request before it read that the upstream leaves",
     "32": "STOP: both series of faults restarted one daemon, which was then started twice",
+    "47": "LOST: streams that a stopping daemon took by an assumed speed of its engines were cut off",
     "113": "DENIED: one port was given out twice, so callers met another daemon's readiness port",
     "141": "the soak ended with an error: both series of faults removed one upstream",
 }
@@ -56,6 +64,8 @@
         # Times of the last SIGTERM and SIGKILL.
         self.terminated_at, self.killed_at = 0.0, 0.0
         self.pauses, self.paused_until = 0, 0.0
+        # Number of the process, and the times of the first SIGTERM of those that were stopped.
+        self.incarnation, self.stops = 0, {}
         self.path = os.path.join(world.folder, f"{name}.json")
         with open(self.path, "w") as file:
             json.dump({"node": {
@@ -68,6 +78,7 @@
 
     async def start(self):
         self.stopping = False
+        self.incarnation += 1
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "a")
         self.process = await asyncio.create_subprocess_exec(
             self.world.program, f"--settings={self.path}", stdout=log, stderr=log)
@@ -92,7 +103,7 @@
         self.restarting = True
         self.stopping = number == signal.SIGTERM
         if self.stopping:
-            self.terminated_at = time.monotonic()
+            self.terminated_at = self.stops[self.incarnation] = time.monotonic()
         else:
             self.killed_at = time.monotonic()
         self.signal(number)
@@ -118,8 +129,10 @@
     drain_s = 1.0
     # Time that a plain service takes for a request.
     call_s = 0.02
-    # Time that an engine takes until the first event of a stream, and between events.
+    # Time that an engine takes until the first event of a stream, and between events, unless the
+    # engines get drawn speeds.
     first_event_s, event_s = 0.03, 0.01
+    draws_speeds = False
     # Grace period of a planned stop, and the longest time of a request by the settings.
     grace_s, timeout_s = 4, 5
 
@@ -128,9 +141,13 @@
         self.random = random.Random(seed)
         self.executions, self.kv_copies, self.failures = {}, {}, []
         self.refused, self.idempotent, self.counts = set(), set(), {}
-        # Requests whose connection ended without a response during a planned stop.
+        # Requests that ended without a whole response during a planned stop.
         self.unanswered = []
         self.daemon_by_request = {}
+        # The engines at which each stream ran, and the kinds of engines of this seed.
+        self.engines_by_request = {}
+        self.speed_random = random.Random(f"speeds of {seed}")
+        self.speeds = self.speed_random.choices(ENGINE_SPEEDS, k=2)
         self.version, self.keys, self.revoked_at = 0, set(KEYS), {}
         self.upstreams, self.next_upstream, self.next_request = [], 0, 0
 
@@ -144,6 +161,13 @@
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def draw_speed(self):
+        """Returns the time to the first event and between events of an engine."""
+        if not self.draws_speeds:
+            return self.first_event_s, self.event_s
+        factor = self.speed_random.uniform(0.7, 1)
+        return tuple(factor * time for time in self.speed_random.choice(self.speeds))
+
     async def configure(self):
         """Publishes a new version of the routes, services and tenants."""
         self.version += self.random.randint(1, 3)
@@ -209,29 +233,52 @@
             daemon.signal(signal.SIGKILL)
 
 
-async def exchange(world, daemon, connection, kind, request):
+class Call:
+    """One request of a caller and how it ended."""
+
+    def __init__(self, world, daemon, kind):
+        self.request, self.daemon, self.kind = world.new_request(), daemon, kind
+        self.writer, self.status, self.ended_at, self.excuse = None, None, None, None
+        self.begin()
+        world.daemon_by_request[self.request] = daemon
+        if kind == "safe":
+            world.idempotent.add(self.request)
+
+    def begin(self):
+        """Notes that the request is sent now, to the present process of its daemon."""
+        self.incarnation, self.sent_at = self.daemon.incarnation, time.monotonic()
+
+    def is_sent_in_stop(self):
+        """Tells whether it was sent after the SIGTERM of the process to which it was sent."""
+        return self.sent_at >= self.daemon.stops.get(self.incarnation, float("inf"))
+
+
+async def exchange(world, call, connection):
     """Sends one request and checks its response; returns the connection if it stays open."""
+    request, kind = call.request, call.kind
     key = world.random.choice(KEYS)
     body = b"x" * world.random.choice((0, 10, 3000))
     prefix = {"stream": "/s/", "unsafe": "/u/", "safe": "/r/"}[kind]
-    if kind == "safe":
-        world.idempotent.add(request)
-    sent_at = time.monotonic()
-    world.daemon_by_request[request] = daemon
     if connection is None:
-        connection = await asyncio.wait_for(asyncio.open_connection(ADDRESS, daemon.front), 1)
+        connection = await asyncio.wait_for(
+            asyncio.open_connection(ADDRESS, call.daemon.front), 1)
+        call.begin()
     reader, writer = connection
+    call.writer = writer
     events = world.random.choice((3, 40, 200))
     writer.write((f"POST {prefix}a HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: {request}\r\n"
-                  f"Api-Key: {key}\r\nDeadline-Ms: 5000\r\nToken-Counts: 100,{events * 4}\r\n"
-                  f"Length-Hint: {events * 4}\r\nContent-Length: {len(body)}\r\n\r\n").encode() + body)
+                  f"Api-Key: {key}\r\nDeadline-Ms: {int(DEADLINE_S * 1000)}\r\n"
+                  f"Token-Counts: 100,{events * 4}\r\nLength-Hint: {events * 4}\r\n"
+                  f"Content-Length: {len(body)}\r\n\r\n").encode() + body)
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-    status = int(head.split(" ")[1])
+    status = call.status = int(head.split(" ")[1])
     fields = {line.partition(":")[0].lower(): line.partition(":")[2].strip()
               for line in head.split("\r\n")[1:]}
     world.count(f"{kind} {status}")
     if "chunked" in fields.get("transfer-encoding", ""):
         await check_stream(world, reader, request, events)
+        if call.is_sent_in_stop():
+            world.count("stream of a stop complete")
     else:
         response_body = await reader.readexactly(int(fields.get("content-length", 0)))
         if status == 200 and response_body != f"{request}:{len(body)}".encode():
@@ -240,16 +287,46 @@
         world.refused.add(request)
     if status == 404:
         world.fail(f"DENIED: {request} got 404 for a route of every version")
+    if kind == "stream" and status >= 500 and status != 503:
+        record_unanswered(world, call)
     revoked = world.revoked_at.get(key)
-    if status == 200 and revoked and sent_at > revoked + REVOKE_S + 0.3:
+    if status == 200 and revoked and call.sent_at > revoked + REVOKE_S + 0.3:
         world.fail(f"CONFIG: {request} served with a key that was revoked "
-                   f"{sent_at - revoked:.1f} s before")
+                   f"{call.sent_at - revoked:.1f} s before")
     if fields.get("connection") == "close":
         writer.close()
         return None
     return connection
 
 
+def find_excuse(world, call, since):
+    """Returns what else may have cut a request that ends now, or None."""
+    daemon = call.daemon
+    if max(daemon.killed_at, daemon.paused_until) >= since:
+        return "daemon"
+    if call.kind != "stream":
+        return None
+    if call.ended_at - call.sent_at >= DEADLINE_SHARE * DEADLINE_S:
+        return "time limit"
+    for engine in world.engines_by_request.get(call.request, ()):
+        if max(engine.killed_at, engine.proxy.disturbed_at) >= call.sent_at:
+            return "engine"
+    return None
+
+
+def record_unanswered(world, call):
+    """Records a request that ends now without a whole response if its daemon is being stopped."""
+    stopped_at = call.daemon.stops.get(call.incarnation)
+    if stopped_at is None:
+        return
+    call.ended_at = time.monotonic()
+    if call.kind == "stream" and not call.is_sent_in_stop():
+        world.count("stream of before a stop cut")
+        return
+    call.excuse = find_excuse(world, call, max(call.sent_at, stopped_at))
+    world.unanswered.append(call)
+
+
 async def check_stream(world, reader, request, events):
     """Checks that all events of a stream arrive once, in order and from one generation."""
     expected, generation = 1, None
@@ -270,44 +347,107 @@
     world.count("stream complete")
 
 
+async def send_call(world, daemon, connection, kind):
+    """Sends one request and judges how it ends; returns the connection if it stays open."""
+    call = Call(world, daemon, kind)
+    try:
+        return await asyncio.wait_for(exchange(world, call, connection), 8)
+    except asyncio.TimeoutError:
+        world.count(f"{kind} timeout")
+    except (OSError, asyncio.IncompleteReadError, ValueError):
+        world.count(f"{kind} cut")
+        record_unanswered(world, call)
+    if call.writer:
+        call.writer.close()
+    return None
+
+
 async def caller(world, end):
-    """Sends requests to random daemons until `end`; keeps a connection while it stays usable."""
-    connection, daemon, opened_at = None, None, 0.0
+    """Sends requests to random daemons until `end`; keeps a connection while it stays usable.
+
+    It stays with a stopping daemon until the process is gone.
+    """
+    connection, daemon = None, None
     while time.monotonic() < end:
-        if connection is None:
-            daemon, opened_at = world.random.choice(world.daemons), time.monotonic()
+        if connection is None and not (daemon and daemon.stopping):
+            daemon = world.random.choice(world.daemons)
         kind = world.random.choice(("stream", "unsafe", "unsafe", "safe"))
-        try:
-            request = world.new_request()
-            connection = await asyncio.wait_for(
-                exchange(world, daemon, connection, kind, request), 8)
-        except asyncio.TimeoutError:
-            world.count(f"{kind} timeout")
-            connection = None
-        except (OSError, asyncio.IncompleteReadError, ValueError):
-            world.count(f"{kind} cut")
-            connection = None
-            # Requests to plain services get a response whatever their upstream does; a broken stream
-            # is closed. Only a planned stop, not a kill or a pause, is judged.
-            is_planned = daemon.terminated_at > max(opened_at, daemon.killed_at, daemon.paused_until)
-            if kind != "stream" and is_planned:
-                world.unanswered.append(request)
+        connection = await send_call(world, daemon, connection, kind)
         await asyncio.sleep(world.random.uniform(0.005, 0.05))
+    if connection:
+        connection[1].close()
+
+
+async def send_late_stream(world, daemon, connection):
+    """Sends a stream request on an open connection at some time of a planned stop."""
+    await asyncio.sleep(world.random.uniform(0, world.grace_s))
+    connection = await send_call(world, daemon, connection, "stream")
+    if connection:
+        connection[1].close()
+
+
+async def send_signals(daemon, numbers, waits):
+    """Sends a stopping daemon further signals, each after a wait."""
+    for number, wait in zip(numbers, waits):
+        await asyncio.sleep(wait)
+        if daemon.stopping:
+            daemon.signal(number)
+
+
+async def stop_daemon(world, rng, daemon, pause_s=0.0):
+    """Restarts a daemon by SIGTERM under streams, after a SIGSTOP that lasts if `pause_s` is set."""
+    numbers = rng.choice(((), (signal.SIGTERM,), (signal.SIGHUP, signal.SIGTERM)))
+    waits = [rng.uniform(0, world.grace_s / 2) for _ in range(2)]
+    if daemon.restarting:
+        return
+    daemon.restarting = True
+    late = []
+    for _ in range(LATE_STREAMS):
+        try:
+            connection = await asyncio.open_connection(ADDRESS, daemon.front)
+        except OSError:
+            continue  # Its process was started just now and doesn't listen yet.
+        late.append(asyncio.create_task(send_late_stream(world, daemon, connection)))
+    if pause_s:
+        late.append(asyncio.create_task(daemon.pause(pause_s)))
+        await asyncio.sleep(0)  # Lets the pause begin.
+    late.append(asyncio.create_task(send_signals(daemon, numbers, waits)))
+    await daemon.restart(signal.SIGTERM)
+    await asyncio.gather(*late)
+
 
+async def stop_several(world, rng):
+    """Stops several daemons; with a long gap one after another, with a short one together."""
+    count = rng.randint(2, max(2, len(world.daemons) // 2))
+    gap = rng.uniform(0, 2 * (world.grace_s + 1) / count)
 
-async def inject_fault(world):
+    async def stop_later(daemon, wait):
+        await asyncio.sleep(wait)
+        await stop_daemon(world, rng, daemon)
+
+    await asyncio.gather(*(stop_later(daemon, place * gap)
+                           for place, daemon in enumerate(rng.sample(world.daemons, count))))
+
+
+async def inject_fault(world, rng):
     """Injects one random fault and repairs it."""
-    rng = world.random
     daemon = rng.choice(world.daemons)
-    kind = rng.choice(("pause", "kill", "term", "store", "store_cut", "upstream", "proxy",
-                       "engine_leaves", "engine_crashes", "plain_leaves", "config", "revoke",
-                       "history"))
+    kind = rng.choice(("pause", "kill", "term", "pause_term", "several_term", "store", "store_cut",
+                       "upstream", "proxy", "engine_leaves", "engine_crashes", "plain_leaves",
+                       "engine_speed", "config", "revoke", "history"))
     world.count(f"fault {kind}")
     if kind == "pause":
         await daemon.pause(rng.uniform(0.2, 2.5))
-    elif kind in ("kill", "term"):
+    elif kind == "kill":
         if not daemon.restarting:
-            await daemon.restart(signal.SIGKILL if kind == "kill" else signal.SIGTERM)
+            await daemon.restart(signal.SIGKILL)
+    elif kind == "term":
+        await stop_daemon(world, rng, daemon)
+    elif kind == "pause_term":
+        # Short enough that the stop ends in time even if the other fault task adds a pause.
+        await stop_daemon(world, rng, daemon, rng.uniform(0.05, 1))
+    elif kind == "several_term":
+        await stop_several(world, rng)
     elif kind == "store":
         world.store.mode = rng.choice(("silent", "reset", "slow", "busy"))
         await asyncio.sleep(rng.uniform(0.5, 3.5))
@@ -331,6 +471,8 @@
         upstream = rng.choice([item for item in world.upstreams if item.is_engine == is_engine])
         await world.add_upstream(is_engine)
         await world.remove_upstream(upstream, kind == "engine_crashes")
+    elif kind == "engine_speed":
+        rng.choice([item for item in world.upstreams if item.is_engine]).draw_speed()
     elif kind == "config":
         await world.configure()
     elif kind == "revoke" and KEYS[1] in world.keys:
@@ -341,18 +483,27 @@
         world.store.discard_history()
 
 
-async def inject_faults(world, end):
-    """Injects faults one after another until `end`."""
+async def inject_faults(world, seed, end):
+    """Injects faults one after another until `end`, drawn apart from what callers draw."""
+    rng = random.Random(seed)
     while time.monotonic() < end:
-        await inject_fault(world)
-        await asyncio.sleep(world.random.uniform(0, 0.5))
+        await inject_fault(world, rng)
+        await asyncio.sleep(rng.uniform(0, 0.5))
 
 
 def check_executions(world):
     """Checks the executions that the upstreams recorded, after all requests have ended."""
-    for request in world.unanswered:
-        if request in world.executions:
-            world.fail(f"LOST: {request} ran and got no response during a planned stop")
+    for call in world.unanswered:
+        if call.request not in world.executions:
+            continue
+        if call.excuse:
+            world.count(f"{call.kind} cut in a stop, excuse: {call.excuse}")
+            continue
+        stopped_at = call.daemon.stops[call.incarnation]
+        world.fail(f"LOST: {call.kind} {call.request}, sent to {call.daemon.name} "
+                   f"{call.sent_at - stopped_at:.2f} s after SIGTERM, ran at "
+                   f"{[run[0] for run in world.executions[call.request]]} and ended at "
+                   f"{call.ended_at - stopped_at:.2f} s with status {call.status}")
     for request, executions in world.executions.items():
         if request in world.idempotent:
             continue
@@ -369,8 +520,7 @@
         for _ in range(20):
             try:
                 before = world.counts.get("unsafe 200", 0)
-                await asyncio.wait_for(
-                    exchange(world, daemon, None, "unsafe", world.new_request()), 3)
+                await asyncio.wait_for(exchange(world, Call(world, daemon, "unsafe"), None), 3)
                 if world.counts.get("unsafe 200", 0) > before:
                     break
             except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
@@ -383,6 +533,7 @@
 async def run_seed(program, seed, seconds, daemons, callers):
     folder = tempfile.mkdtemp(prefix=f"snipeturn-soak-{seed}-")
     world = World(program, seed, folder)
+    world.draws_speeds = True
     await world.start(daemons)
     beat = asyncio.create_task(world.beat())
     try:
@@ -390,7 +541,7 @@
         end = time.monotonic() + seconds
         tasks = [caller(world, end + 2) for _ in range(callers)]
         # Two fault tasks run concurrently, so that faults overlap.
-        tasks += [inject_faults(world, end), inject_faults(world, end)]
+        tasks += [inject_faults(world, f"{part} of {seed}", end) for part in range(2)]
         await asyncio.gather(*tasks)
         world.keys.update(KEYS)
         world.revoked_at.clear()
