Give the entry fuzz test upstreams of drawn speeds, and judge requests that a stop ends

Upstreams now have one of five speeds, which actions change, and a new action stops a host under streams and calls. A request that arrived after SIGTERM, was sent and is ended by the stopping host is a violation, unless the host was paused since its arrival, or one of its upstreams had a fault, was gone, or changed its speed after the send.

--- a/test/entry_fuzz/constants.h
+++ b/test/entry_fuzz/constants.h
@@ -25,8 +25,26 @@
 inline constexpr std::chrono::milliseconds kTimeout{9000};
 /// Maximum time from the route's timeout to the final response.
 inline constexpr std::chrono::milliseconds kMaxResponseLateness{500};
-inline constexpr std::chrono::milliseconds kEventInterval{40};
-inline constexpr std::chrono::milliseconds kCallDuration{40};
+/// Time that an upstream takes for a request.
+struct Speed {
+  std::chrono::milliseconds call;
+  std::chrono::milliseconds first_event;
+  std::chrono::milliseconds event_interval;
+};
+/// Speeds of upstreams. A stop can end all streams of the second and few of the last.
+inline constexpr Speed kSpeeds[] = {
+    {std::chrono::milliseconds{40}, std::chrono::milliseconds{40}, std::chrono::milliseconds{40}},
+    {std::chrono::milliseconds{10}, std::chrono::milliseconds{30}, std::chrono::milliseconds{10}},
+    {std::chrono::milliseconds{500}, std::chrono::milliseconds{800}, std::chrono::milliseconds{50}},
+    {std::chrono::milliseconds{1500}, std::chrono::milliseconds{2500},
+     std::chrono::milliseconds{100}},
+    {std::chrono::milliseconds{4000}, std::chrono::milliseconds{1500},
+     std::chrono::milliseconds{400}},
+};
+inline constexpr int kSpeedCount = 5;
+/// Time after a change of an upstream's speed in which a process that has had no response since
+/// can't know of it.
+inline constexpr std::chrono::milliseconds kSpeedUnknown{15000};
 inline constexpr std::chrono::milliseconds kBroadcastInterval{500};
 /// Time after which the entry of an upstream that is gone expires.
 inline constexpr std::chrono::milliseconds kEntryTtl{2000};
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -7,6 +7,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using world::kGracePeriod;
 
 void RequestMany(World& world, int first, int second) {
   constexpr RouteKind kKinds[] = {RouteKind::kStream, RouteKind::kNonIdempotent,
@@ -49,6 +50,30 @@
   }
 }
 
+/// A planned stop under streams and calls to upstreams of any speed, some of which become slower
+/// while the host stops.
+void StopUnderStreams(World& world, int first, int second) {
+  world.SetAllSpeeds(first / 3);
+  const auto request = [&world, first, second](int count) {
+    world.RequestStream(first % 3, static_cast<std::uint64_t>(1 + (count * 7 + second) % 40));
+    world.Request(first % 3, RouteKind::kNonIdempotent);
+    world.Run(milliseconds{30 + second * 5});
+  };
+  constexpr int kEarlier = 20;
+  for (int count = 0; count < kEarlier; ++count) {
+    request(count);
+  }
+  world.Run(milliseconds{second * 60});
+  world.Stop(first % 3);
+  for (milliseconds stopping{0}; stopping < kGracePeriod;
+       stopping += milliseconds{30 + second * 5}) {
+    request(first + second + static_cast<int>(stopping.count() / 10));
+    if (second % 4 == 1 && stopping > milliseconds{first * 50}) {
+      world.SetSpeed(first, second / 4);
+    }
+  }
+}
+
 const std::vector<FuzzAction<World>>& Actions() {
   static const std::vector<FuzzAction<World>> kActions = {
       {"wait", 16, [](World& w, int first, int) { w.Run(milliseconds{first * 60}); }},
@@ -62,6 +87,9 @@
       {"continue", 6, [](World& w, int first, int) { w.Continue(first % 3); }},
       {"stop", 2, [](World& w, int first, int) { w.Stop(first % 3); }},
       {"stop under requests", 2, StopUnderRequests},
+      {"stop under streams", 2, StopUnderStreams},
+      {"speed", 4, [](World& w, int first, int second) { w.SetSpeed(first, second); }},
+      {"all speeds", 2, [](World& w, int first, int) { w.SetAllSpeeds(first); }},
       {"cut", 4,
        [](World& w, int first, int second) {
          w.SetPartition(first % 3, second % 2 == 0, second % 3 == 0);
--- a/test/entry_fuzz/world.cc
+++ b/test/entry_fuzz/world.cc
@@ -279,8 +279,9 @@
 }
 
 void World::Stop(int number) {
-  const Host& host = hosts_[number];
+  Host& host = hosts_[number];
   if (host.state && !host.is_paused && !host.state->is_stopping) {
+    host.stopping_since = now_;
     ApplyEvent(number, ShutdownRequested{});
   }
 }
@@ -330,6 +331,7 @@
     upstream.fault = 0;
     upstream.signals.pause.reset();
   }
+  SetAllSpeeds(0);
   AddUpstream(true);
   AddUpstream(false);
   Run(seconds{12});
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "entry_fuzz/constants.h"
 #include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/state.h"
@@ -32,6 +33,8 @@
   void Request(int host, RouteKind kind);
   /// Requests a resumable stream for a caller that already has its first `position` events.
   void RequestResumable(int host, std::uint64_t position);
+  /// Requests a stream of a length that the caller also states as its maximum.
+  void RequestStream(int host, std::uint64_t length);
   void DisconnectCaller();
 
   // Hosts.
@@ -62,6 +65,10 @@
   /// Crashes an upstream and restarts it under the same id.
   void Restart(int number);
   void SetFault(int number, int fault);
+  /// Changes the speed of an upstream.
+  void SetSpeed(int number, int speed);
+  /// Changes the speed of all upstreams, and of those that are added later.
+  void SetAllSpeeds(int speed);
   /// Makes an upstream refuse all requests and ask for a pause; zero ends that.
   void SetPause(int number, std::chrono::milliseconds pause);
 
@@ -78,7 +85,11 @@
  private:
   using Action = std::function<void()>;
 
-  void RequestOf(int host, RouteKind kind, bool is_resumable, std::uint64_t position);
+  void RequestOf(int host,
+                 RouteKind kind,
+                 bool is_resumable,
+                 std::uint64_t position,
+                 std::optional<std::uint64_t> length = std::nullopt);
 
   using CallerId = std::uint64_t;
 
@@ -131,6 +142,7 @@
     int incarnation{0};
     bool is_paused{false};
     TimePoint paused_at{};
+    std::optional<TimePoint> stopping_since;
     bool is_partitioned_from_store{false};
     bool is_partitioned_from_peers{false};
     /// Last time at which the host or the store was degraded.
@@ -153,6 +165,9 @@
     RequestKey request{0};
     std::string key;
     TimePoint sent_at{};
+    /// When its host's process read it, and the upstreams to which it was sent, with the time.
+    TimePoint arrived_at{};
+    std::map<UpstreamId, TimePoint> upstreams;
     std::uint64_t length{0};
     std::uint64_t events{0};
     std::string generation;
@@ -173,6 +188,7 @@
     std::uint64_t events{0};
     /// Events sent to the host.
     std::uint64_t sent{0};
+    TimePoint started_at{};
   };
 
   struct Copy {
@@ -197,6 +213,12 @@
     bool is_engine{false};
     bool is_alive{true};
     int fault{0};
+    /// Last time at which it had a fault or was gone.
+    TimePoint disturbed_at{};
+    world::Speed speed{world::kSpeeds[0]};
+    TimePoint speed_changed_at{};
+    /// When each process first had a whole response at the present speed.
+    std::map<ProcessId, TimePoint> speed_known_at;
     std::optional<TimePoint> left_at;
     backpressure::Signals signals;
     std::map<ProcessId, TimePoint> told_leaving_at;
@@ -253,6 +275,11 @@
   void CopyGeneration(int host, int incarnation, const StartCopy& copy);
   void CloseAttempt(int host, AttemptKey attempt);
   void CheckSingleRun(CallerId caller);
+  void ChangeSpeed(FakeUpstream& upstream, int speed);
+  /// Notes that a process is about to have the whole response of a job.
+  void RecordKnownSpeed(FakeUpstream& upstream, const Job& job);
+  /// Checks a request that a stopping host ends without the response of an upstream.
+  void CheckEndedByStop(const Host& host, CallerId caller, std::string_view how);
   void CompleteCaller(int host, RequestKey request, std::string_view how, int status);
   void RelayToCaller(int host, const RelayEvents& relay);
   void DisconnectCallersOf(int host);
@@ -280,6 +307,7 @@
   std::set<std::string> keys_{"key-1", "key-2"};
   std::map<std::string, TimePoint> revoked_at_;
   std::map<std::string, TimePoint> evacuated_at_;
+  world::Speed speed_of_new_upstreams_{world::kSpeeds[0]};
   int next_upstream_{0};
   int next_port_{1000};
   std::int64_t next_start_time_ms_{1000};
--- a/test/entry_fuzz/world_callers.cc
+++ b/test/entry_fuzz/world_callers.cc
@@ -19,7 +19,15 @@
   RequestOf(number, RouteKind::kStream, true, position);
 }
 
-void World::RequestOf(int number, RouteKind kind, bool is_resumable, std::uint64_t position) {
+void World::RequestStream(int number, std::uint64_t length) {
+  RequestOf(number, RouteKind::kStream, false, 0, length);
+}
+
+void World::RequestOf(int number,
+                      RouteKind kind,
+                      bool is_resumable,
+                      std::uint64_t position,
+                      std::optional<std::uint64_t> length) {
   const CallerId id = ++next_caller_;
   Caller& caller = callers_[id];
   caller.kind = kind;
@@ -27,6 +35,7 @@
   caller.key = Random(2) == 0 ? "key-1" : "key-2";
   caller.sent_at = now_;
   caller.length = 5 + Random(120);
+  caller.length = length.value_or(caller.length);
   caller.incarnation = hosts_[number].incarnation;
   caller.is_resumable = is_resumable;
   caller.events = position;
@@ -48,10 +57,11 @@
   arrived.head.key = caller.key;
   arrived.head.time_limit = kTimeout;
   arrived.head.prompt_tokens = 400;
-  arrived.head.max_output_tokens = 600;
+  arrived.head.max_output_tokens = length ? 4 * *length : 600;
   const int incarnation = caller.incarnation;
   RunOnProcess(number, incarnation, [this, number, id, arrived] {
     hosts_[number].callers[arrived.request] = id;
+    callers_.at(id).arrived_at = now_;
     ApplyEvent(number, arrived);
   });
 }
@@ -90,6 +100,33 @@
   });
 }
 
+void World::CheckEndedByStop(const Host& host, CallerId id, std::string_view how) {
+  const Caller& caller = callers_.at(id);
+  const bool is_by_stop = host.state && host.state->is_exiting && host.stopping_since &&
+                          now_ - caller.sent_at < kTimeout;
+  if (!is_by_stop || caller.upstreams.empty() || caller.arrived_at <= *host.stopping_since ||
+      host.paused_at >= caller.arrived_at) {
+    return;
+  }
+  for (const auto& [upstream_id, sent_at] : caller.upstreams) {
+    const FakeUpstream& upstream = upstreams_.at(upstream_id);
+    const auto known = upstream.speed_known_at.find({caller.host, caller.incarnation});
+    const bool is_speed_unknown =
+        sent_at - upstream.speed_changed_at < kSpeedUnknown &&
+        (known == upstream.speed_known_at.end() || known->second > sent_at);
+    if (upstream.fault != 0 || !upstream.is_alive || upstream.disturbed_at >= sent_at ||
+        upstream.speed_changed_at >= sent_at || is_speed_unknown) {
+      return;
+    }
+  }
+  ReportViolation(fmt::format(
+      "LOST: caller {} of {} arrived {} ms after SIGTERM, was sent to {} {} ms "
+      "after it and ended as {}",
+      id, host.name, ToMilliseconds(caller.arrived_at - *host.stopping_since).count(),
+      caller.upstreams.begin()->first,
+      ToMilliseconds(caller.upstreams.begin()->second - *host.stopping_since).count(), how));
+}
+
 void World::CompleteCaller(int number, RequestKey request, std::string_view how, int status) {
   Host& host = hosts_[number];
   const auto found = host.callers.find(request);
@@ -106,6 +143,9 @@
   }
   caller.is_done = true;
   caller.is_served = status == 200;
+  if (how == "broken" || (status == 502 && how == "stopping")) {
+    CheckEndedByStop(host, id, how);
+  }
   finished_ += caller.is_served ? 1 : 0;
   if (how == "finished" && caller.events != caller.length) {
     ReportViolation(fmt::format("ORDER: caller {} got {} of {} events as a complete stream", id,
--- a/test/entry_fuzz/world_upstreams.cc
+++ b/test/entry_fuzz/world_upstreams.cc
@@ -41,6 +41,7 @@
   entry.slots = kSlots;
   entry.start_time_ms = ++next_start_time_ms_;
   entry.sequence = 1;
+  upstream.speed = speed_of_new_upstreams_;
   upstreams_[entry.id] = upstream;
   PublishEntry(upstream);
 }
@@ -94,6 +95,7 @@
 
 void World::TerminateUpstream(FakeUpstream& upstream) {
   upstream.is_alive = false;
+  upstream.disturbed_at = now_;
   ExpireEntry(upstream.entry.id, upstream.entry.start_time_ms);
   const auto jobs = std::exchange(upstream.jobs, {});
   for (const auto& [key, job] : jobs) {
@@ -143,6 +145,31 @@
 void World::SetFault(int number, int fault) {
   const std::vector<FakeUpstream*> alive = LiveUpstreams();
   alive[number % alive.size()]->fault = fault;
+  alive[number % alive.size()]->disturbed_at = now_;
+}
+
+void World::SetSpeed(int number, int speed) {
+  const std::vector<FakeUpstream*> alive = LiveUpstreams();
+  ChangeSpeed(*alive[number % alive.size()], speed);
+}
+
+void World::SetAllSpeeds(int speed) {
+  speed_of_new_upstreams_ = kSpeeds[speed % kSpeedCount];
+  for (auto& [id, upstream] : upstreams_) {
+    ChangeSpeed(upstream, speed);
+  }
+}
+
+void World::ChangeSpeed(FakeUpstream& upstream, int speed) {
+  upstream.speed = kSpeeds[speed % kSpeedCount];
+  upstream.speed_changed_at = now_;
+  upstream.speed_known_at.clear();
+}
+
+void World::RecordKnownSpeed(FakeUpstream& upstream, const Job& job) {
+  if (job.started_at >= upstream.speed_changed_at) {
+    upstream.speed_known_at.emplace(ProcessId{job.host, job.incarnation}, now_ + kMaxMessageDelay);
+  }
 }
 
 void World::SetPause(int number, milliseconds pause) {
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -34,7 +34,8 @@
   incoming.caller = caller->second;
   incoming.sent_at = now_;
   host.incoming[send.attempt] = incoming;
-  const Caller& requester = callers_.at(caller->second);
+  Caller& requester = callers_.at(caller->second);
+  requester.upstreams.emplace(send.upstream, now_);
   const auto revoked = revoked_at_.find(requester.key);
   if (revoked != revoked_at_.end() && requester.sent_at > revoked->second + kRevocationBound) {
     ReportViolation(fmt::format(
@@ -223,16 +224,17 @@
     }
     job.generation = fmt::format("{}@{}", id, upstream.entry.id);
   }
+  job.started_at = now_;
   const std::uint64_t key = ++next_job_;
   upstream.jobs[key] = job;
   const UpstreamId upstream_id = upstream.entry.id;
   const std::int64_t start_time_ms = upstream.entry.start_time_ms;
   if (caller.kind == RouteKind::kStream) {
-    ScheduleAfter(kEventInterval, [this, upstream_id, start_time_ms, key] {
-      ProduceEvent(upstream_id, start_time_ms, key);
-    });
+    ScheduleAfter(
+        send.resume ? upstream.speed.event_interval : upstream.speed.first_event,
+        [this, upstream_id, start_time_ms, key] { ProduceEvent(upstream_id, start_time_ms, key); });
   } else {
-    const auto time = upstream.fault == kHangs ? kHangDuration : kCallDuration;
+    const auto time = upstream.fault == kHangs ? kHangDuration : upstream.speed.call;
     ScheduleAfter(time, [this, upstream_id, start_time_ms, key] {
       RespondToJob(upstream_id, start_time_ms, key);
     });
@@ -261,6 +263,7 @@
   }
   const Job job = found->second;
   upstream.jobs.erase(found);
+  RecordKnownSpeed(upstream, job);
   const bool is_lost = upstream.fault == kLosesResponses;
   EndAttempt(job.host, job.incarnation, job.attempt,
              is_lost ? AttemptResult::kBroken : AttemptResult::kAnswered, is_lost ? 0 : 200);
@@ -293,10 +296,11 @@
     });
   });
   if (events < length) {
-    ScheduleAfter(kEventInterval,
+    ScheduleAfter(upstream.speed.event_interval,
                   [this, id, start_time_ms, key] { ProduceEvent(id, start_time_ms, key); });
     return;
   }
+  RecordKnownSpeed(upstream, job);
   upstream.jobs.erase(found);
   ScheduleAfter(milliseconds{1}, [this, number, incarnation, attempt] {
     EndAttempt(number, incarnation, attempt, AttemptResult::kStreamFinished, 200);
