--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -189,6 +189,7 @@
     /// Events sent to the host.
     std::uint64_t sent{0};
     TimePoint started_at{};
+    std::uint64_t events_at_start{0};
   };
 
   struct Copy {
@@ -217,7 +218,8 @@
     TimePoint disturbed_at{};
     world::Speed speed{world::kSpeeds[0]};
     TimePoint speed_changed_at{};
-    /// When each process first had a whole response at the present speed.
+    /// When each process first had a whole response at the present speed, of two events at least
+    /// if it was a stream: one event shows nothing of the time between events.
     std::map<ProcessId, TimePoint> speed_known_at;
     std::optional<TimePoint> left_at;
     backpressure::Signals signals;
--- a/test/entry_fuzz/world_upstreams.cc
+++ b/test/entry_fuzz/world_upstreams.cc
@@ -167,7 +167,8 @@
 }
 
 void World::RecordKnownSpeed(FakeUpstream& upstream, const Job& job) {
-  if (job.started_at >= upstream.speed_changed_at) {
+  const bool shows_speed = !upstream.is_engine || job.events >= job.events_at_start + 2;
+  if (shows_speed && job.started_at >= upstream.speed_changed_at) {
     upstream.speed_known_at.emplace(ProcessId{job.host, job.incarnation}, now_ + kMaxMessageDelay);
   }
 }
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -225,6 +225,7 @@
     job.generation = fmt::format("{}@{}", id, upstream.entry.id);
   }
   job.started_at = now_;
+  job.events_at_start = job.events;
   const std::uint64_t key = ++next_job_;
   upstream.jobs[key] = job;
   const UpstreamId upstream_id = upstream.entry.id;
