Don't bind a process of the soak to notices that its predecessor got in its stop

A fault of the harness, by host-1's log: SIGTERM 49.05, notice in a response of i-3 at 51.37 (814 reason=said), exit 52.65, new process 52.82, which read the list, where i-3 (an upstream that never tells the store) was ready, and sent r405 to it at 52.91. The check compared the notice with the last SIGTERM and not with the start of the process. It shows now since callers use stopping daemons.

--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -208,8 +208,8 @@
         daemon = self.world.daemon_by_request[request]
 
         def is_bound_since(since):
-            return (max(daemon.terminated_at, daemon.killed_at, self.proxy.disturbed_at) < since and
-                    daemon.paused_until < since)
+            return (max(daemon.started_at, daemon.terminated_at, daemon.killed_at,
+                        self.proxy.disturbed_at, daemon.paused_until) < since)
 
         told = self.told_leaving.get(daemon)
         if told and now > told + self.world.drain_s + 0.5 and is_bound_since(told):
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -61,8 +61,8 @@
         self.stopping = False
         # A fault task is restarting it; another one must not start a second process meanwhile.
         self.restarting = False
-        # Times of the last SIGTERM and SIGKILL.
-        self.terminated_at, self.killed_at = 0.0, 0.0
+        # Times of the last start, SIGTERM and SIGKILL.
+        self.started_at, self.terminated_at, self.killed_at = 0.0, 0.0, 0.0
         self.pauses, self.paused_until = 0, 0.0
         # Number of the process, and the times of the first SIGTERM of those that were stopped.
         self.incarnation, self.stops = 0, {}
@@ -79,6 +79,7 @@
     async def start(self):
         self.stopping = False
         self.incarnation += 1
+        self.started_at = time.monotonic()
         log = open(os.path.join(self.world.folder, f"{self.name}.log"), "a")
         self.process = await asyncio.create_subprocess_exec(
             self.world.program, f"--settings={self.path}", stdout=log, stderr=log)
