Stand-ins that say they are leaving, pause or lie

They now say Server-Leaving for a time before they end, with or without the notice in their load report, refuse with a pause on command or at a load, and state garbled, zero, negative, huge and date values. They count what reaches them all the same.

--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -148,6 +148,9 @@
       request.connection->Cut();
       return U_CALLBACK_CONTINUE;
     }
+    for (const auto& [name, value] : response.headers) {
+      u_map_put(ulfius_response->map_header, name.c_str(), value.c_str());
+    }
     if (response.stream) {
       internal::SetStream(ulfius_response, response, request.connection);
     } else if (request.connection->WaitUntilWritable()) {
--- a/standins/common/http_server.h
+++ b/standins/common/http_server.h
@@ -37,6 +37,8 @@
   int status{200};
   Json::Value body;
   std::unique_ptr<ByteSource> stream;
+  /// Header fields beside the type and the length.
+  std::map<std::string, std::string> headers;
   /// Close the connection without sending a response.
   bool closes_connection{false};
 };
--- a/standins/engine/engine.cc
+++ b/standins/engine/engine.cc
@@ -51,11 +51,13 @@
   thread_.join();
 }
 
-std::optional<ReaderTicket> Engine::Start(const GenerationRequest& request) {
+std::optional<ReaderTicket> Engine::Start(const GenerationRequest& request,
+                                          std::optional<int> max_active) {
   const std::lock_guard lock{mutex_};
   const std::uint64_t prompt_tokens = CountTokens(request.prompt);
   const std::uint64_t length = DrawLength(request);
-  if (active() >= options_.slots + options_.max_waiting ||
+  if (active() >= max_active.value_or(options_.slots + options_.max_waiting) ||
+      active() >= options_.slots + options_.max_waiting ||
       prompt_tokens + length > options_.memory_tokens) {
     ++stats_.refused;
     return std::nullopt;
--- a/standins/engine/engine.h
+++ b/standins/engine/engine.h
@@ -139,8 +139,13 @@
   Engine& operator=(const Engine&) = delete;
 
   /// @brief Starts a generation.
-  /// @return Its first reader, or nothing when the engine is overloaded.
-  [[nodiscard]] std::optional<ReaderTicket> Start(const GenerationRequest& request);
+  /// @param request The request.
+  /// @param max_active Number of waiting and running generations from which on it is refused,
+  /// beside
+  ///     the limits of the engine.
+  /// @return Its first reader, or nothing when it is refused.
+  [[nodiscard]] std::optional<ReaderTicket> Start(const GenerationRequest& request,
+                                                  std::optional<int> max_active);
 
   /// @brief Attaches a new reader, which supersedes the present one.
   /// @return The reader, or nothing when the generation is unknown.
--- a/standins/engine/main.cc
+++ b/standins/engine/main.cc
@@ -1,9 +1,12 @@
 #include <boost/algorithm/string/classification.hpp>
 #include <boost/algorithm/string/split.hpp>
+#include <optional>
+#include <utility>
 
 #include "standins/common/faults.h"
 #include "standins/common/json.h"
 #include "standins/common/program.h"
+#include "standins/common/stated_signals.h"
 #include "standins/engine/generation_reader.h"
 
 namespace {
@@ -78,7 +81,11 @@
   return response;
 }
 
-HttpResponse Complete(Engine& engine, const EventFaults& faults, const HttpRequest& request) {
+HttpResponse Complete(Engine& engine,
+                      const EventFaults& faults,
+                      StatedSignals& signals,
+                      const HttpRequest& request) {
+  signals.RecordCall();
   const auto body = ParseJson(request.body);
   if (!body || !body->isObject() || !(*body)["prompt"].isString()) {
     return RejectionResponse(400, "no_prompt");
@@ -91,9 +98,12 @@
   if (!engine.serves(generation.model)) {
     return RejectionResponse(404, "no_such_model");
   }
-  const auto ticket = engine.Start(generation);
-  return ticket ? Stream(engine, faults, *ticket, 0, request)
-                : RejectionResponse(503, "overloaded");
+  const std::optional<int> max_running = signals.max_running();
+  const auto ticket = engine.Start(generation, max_running);
+  if (ticket) {
+    return Stream(engine, faults, *ticket, 0, request);
+  }
+  return max_running ? signals.MakeRefusal() : RejectionResponse(503, "overloaded");
 }
 
 HttpResponse HandleGeneration(Engine& engine,
@@ -111,38 +121,51 @@
 HttpResponse HandleControl(const HttpServer& server,
                            Engine& engine,
                            EventFaults& faults,
+                           StatedSignals& signals,
                            const HttpRequest& request) {
   const Json::Value control = ParseJson(request.body).value_or(Json::Value{});
   ApplyConnectionFaults(server, control, request.connection.get());
   faults.duplicate_every = control.get("duplicate_every", faults.duplicate_every.load()).asUInt64();
   faults.reorder_every = control.get("reorder_every", faults.reorder_every.load()).asUInt64();
   engine.Control(control);
+  signals.Control(control);
   return JsonResponse(200, Json::objectValue);
 }
 
+HttpResponse Serve(Engine& engine,
+                   const EventFaults& faults,
+                   StatedSignals& signals,
+                   const HttpRequest& request) {
+  if (request.path == "/v1/completions") {
+    return Complete(engine, faults, signals, request);
+  }
+  if (request.path.rfind("/v1/generations/", 0) == 0) {
+    return HandleGeneration(engine, faults, request);
+  }
+  return request.path == "/load" ? JsonResponse(200, engine.Load())
+                                 : RejectionResponse(404, "no_such_path");
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   const Arguments arguments = StartProgram(kUsage, argc, argv);
   Engine engine{ReadOptions(arguments)};
   EventFaults faults;
+  StatedSignals signals;
   const HttpServer server{static_cast<int>(Number(arguments, "--port")),
                           [&](const HttpServer& self, const HttpRequest& request) {
-                            if (request.path == "/v1/completions") {
-                              return Complete(engine, faults, request);
-                            }
-                            if (request.path.rfind("/v1/generations/", 0) == 0) {
-                              return HandleGeneration(engine, faults, request);
-                            }
-                            if (request.path == "/load") {
-                              return JsonResponse(200, engine.Load());
-                            }
                             if (request.path == "/stats") {
-                              return JsonResponse(200, engine.Stats());
+                              Json::Value stats = engine.Stats();
+                              signals.AddTo(stats);
+                              return JsonResponse(200, std::move(stats));
+                            }
+                            if (request.path == "/control") {
+                              return HandleControl(self, engine, faults, signals, request);
                             }
-                            return request.path == "/control"
-                                       ? HandleControl(self, engine, faults, request)
-                                       : RejectionResponse(404, "no_such_path");
+                            HttpResponse response = Serve(engine, faults, signals, request);
+                            signals.AddTo(response);
+                            return response;
                           }};
   ServeUntilSignal(server.port());
 }
--- a/standins/service/main.cc
+++ b/standins/service/main.cc
@@ -39,7 +39,7 @@
   const HttpServer server{static_cast<int>(Number(arguments, "--port")),
                           [&service](const HttpServer& self, const HttpRequest& request) {
                             if (request.path == "/load") {
-                              return JsonResponse(200, service.Load());
+                              return service.ReportLoad();
                             }
                             if (request.path == "/stats") {
                               return JsonResponse(200, service.Stats());
--- a/standins/service/service.cc
+++ b/standins/service/service.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <optional>
 #include <thread>
 #include <utility>
 
@@ -33,8 +34,18 @@
     : options_{options}, incarnation_{DrawIncarnation()}, cold_since_{Clock::now()} {}
 
 HttpResponse Service::Call(const HttpRequest& request) {
+  signals_.RecordCall();
+  HttpResponse response = Run(request);
+  signals_.AddTo(response);
+  return response;
+}
+
+HttpResponse Service::Run(const HttpRequest& request) {
   const std::string key = internal::IdempotencyKey(request);
   const Admission admission = Admit(key);
+  if (admission.pauses) {
+    return signals_.MakeRefusal();
+  }
   if (!admission.admitted) {
     Json::Value body;
     body["outcome"] = "not_run";
@@ -57,7 +68,9 @@
 Service::Admission Service::Admit(const std::string& key) {
   const std::lock_guard lock{mutex_};
   Admission admission;
-  if (running_ >= options_.slots) {
+  const std::optional<int> max_running = signals_.max_running();
+  admission.pauses = max_running && running_ >= *max_running;
+  if (admission.pauses || running_ >= options_.slots) {
     ++refused_;
     return admission;
   }
@@ -111,6 +124,12 @@
   faults_.leaving = false;
 }
 
+HttpResponse Service::ReportLoad() const {
+  HttpResponse response = JsonResponse(200, Load());
+  signals_.AddTo(response);
+  return response;
+}
+
 Json::Value Service::Load() const {
   const std::lock_guard lock{mutex_};
   Json::Value report;
@@ -140,10 +159,12 @@
   for (const auto& [key, count] : executions_) {
     stats["executions"][key] = Json::UInt64{count};
   }
+  signals_.AddTo(stats);
   return stats;
 }
 
 void Service::Control(const Json::Value& control) {
+  signals_.Control(control);
   const std::lock_guard lock{mutex_};
   options_.latency = std::chrono::milliseconds{
       control.get("latency_ms", Json::Int64{options_.latency.count()}).asInt64()};
--- a/standins/service/service.h
+++ b/standins/service/service.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "standins/common/http_server.h"
+#include "standins/common/stated_signals.h"
 
 namespace snipeturn::standin {
 
@@ -48,7 +49,8 @@
   /// @brief Executes a call, subject to slots and faults.
   [[nodiscard]] HttpResponse Call(const HttpRequest& request);
 
-  [[nodiscard]] Json::Value Load() const;
+  /// @brief Returns the load report, as a response whose head states what the service wants.
+  [[nodiscard]] HttpResponse ReportLoad() const;
   [[nodiscard]] Json::Value Stats() const;
 
   /// @brief Changes options and faults; absent members leave them unchanged.
@@ -60,10 +62,14 @@
   /// Result of admission; `exceeds_cold_limit` makes the call fail after `latency`.
   struct Admission {
     bool admitted{false};
+    /// The refusal states a pause.
+    bool pauses{false};
     bool exceeds_cold_limit{false};
     std::chrono::milliseconds latency{0};
   };
 
+  [[nodiscard]] Json::Value Load() const;
+  [[nodiscard]] HttpResponse Run(const HttpRequest& request);
   [[nodiscard]] Admission Admit(const std::string& key);
   [[nodiscard]] HttpResponse Execute(const HttpRequest& request, const std::string& key);
   [[nodiscard]] bool is_cold() const;
@@ -72,6 +78,7 @@
   mutable std::mutex mutex_;
   ServiceOptions options_;
   ServiceFaults faults_;
+  StatedSignals signals_;
   std::uint64_t incarnation_;
   Clock::time_point cold_since_;
   int cold_completed_{0};
--- a/test/process/standins_test.py
+++ b/test/process/standins_test.py
@@ -193,6 +193,95 @@
         assert sum(service.stats()["executions"].values()) == 2
 
 
+def ask(simulator, path, body=None):
+    """Returns status and header fields of a response, without waiting for the end of a stream."""
+    connection = http.client.HTTPConnection(ADDRESS, simulator.port, timeout=5)
+    connection.request("GET" if body is None else "POST", path,
+                       None if body is None else json.dumps(body))
+    answer = connection.getresponse()
+    connection.close()
+    return answer.status, dict(answer.getheaders())
+
+
+def upstreams(build):
+    """Returns each simulated upstream with the path and the body of a call that runs for long."""
+    return ((engine(build, "--cold-ms=0"), "/v1/completions",
+             {"model": MODEL, "prompt": "prompt", "max_tokens": 3000}),
+            (SimulatorRun(build, "standin_service", "--cold-ms=0", "--latency-ms=30"), "/orders", {}))
+
+
+def upstream_says_leaving_in_all_responses_and_goes(build):
+    """Guards against an upstream that leaves without the notice, stays, or misses a late call."""
+    for upstream, path, body in upstreams(build):
+        with upstream as simulator:
+            assert "Server-Leaving" not in ask(simulator, path, body)[1]
+            simulator.control(leaves_in_ms=1500)
+            for said in (ask(simulator, path, body), ask(simulator, "/load")):
+                assert (said[0], said[1]["Server-Leaving"]) == (200, "1"), said
+            assert send("GET", simulator.port, "/load").json["leaving"] is False
+            simulator.control(leaving=True, pauses=True)
+            wait_until(lambda: send("GET", simulator.port, "/load").json["leaving"], 2,
+                       "the load report follows", 0.02)
+            status, fields = ask(simulator, path, body)
+            assert (status, fields["Server-Leaving"]) == (503, "1"), fields
+            late = simulator.stats()["leaving_calls_ms"]
+            assert len(late) == 2 and 0 <= late[0] <= late[1] < 1500, late
+            wait_until(lambda: not simulator.running, 3, "the process ends")
+
+
+def upstream_that_says_leaving_wrongly_stays(build):
+    """Guards against a notice that can't be wrong or garbled, or that outlasts its end."""
+    for upstream, path, body in upstreams(build):
+        with upstream as simulator:
+            for value, said in ((True, "1"), ("yes", "yes"), ("0", "0"), (False, None)):
+                simulator.control(says_leaving=value)
+                status, fields = ask(simulator, path, body)
+                assert (status, fields.get("Server-Leaving")) == (200, said), (value, fields)
+            simulator.control(says_leaving=True)
+            simulator.control(restart=True)
+            assert "Server-Leaving" not in ask(simulator, path, body)[1]
+
+
+def upstream_pauses_on_command_with_any_value(build):
+    """Guards against a refusal that runs the call, or that states another time than it should."""
+    for upstream, path, body in upstreams(build):
+        with upstream as simulator:
+            values = ("2", "0.25", "0", "-1", "soon", "", "999999999999",
+                      "Wed, 21 Oct 2026 07:28:00 GMT")
+            simulator.control(pauses=True)
+            for value in values:
+                simulator.control(retry_after=value)
+                status, fields = ask(simulator, path, body)
+                assert (status, fields["Not-Executed"], fields.get("Retry-After")) == \
+                    (503, "1", value or None), (value, status, fields)
+            stats = simulator.stats()
+            assert (stats["pause_refusals"], stats["starts"]) == (len(values), 0), stats
+            simulator.control(pauses=False)
+            assert ask(simulator, path, body)[0] == 200
+
+
+def upstream_pauses_at_a_load(build):
+    """Guards against an upstream that runs more than the load from which on it pauses."""
+    for upstream, path, body in (
+            (engine(build, "--cold-ms=0"), "/v1/completions",
+             {"model": MODEL, "prompt": "prompt", "max_tokens": 500}),
+            (SimulatorRun(build, "standin_service", "--cold-ms=0", "--latency-ms=400"),
+             "/orders", {})):
+        with upstream as simulator:
+            simulator.control(pause_above=2, retry_after="0.5")
+            running = [Background(lambda: send("POST", simulator.port, path, body))
+                       for _ in range(5)]
+            answers = [reader.join(10) for reader in running]
+            assert sorted(answer.status for answer in answers) == [200, 200, 503, 503, 503], answers
+            stats = simulator.stats()
+            assert (stats["pause_refusals"], stats["starts"]) == (3, 2), stats
+            assert stats["peak_concurrency"] == 2, stats
+            simulator.control(pause_above=-1)
+            running = [Background(lambda: send("POST", simulator.port, path, body))
+                       for _ in range(5)]
+            assert all(reader.join(10).status == 200 for reader in running)
+
+
 CASES = [(function.__name__, function) for function in (
     log_append_is_read_in_order,
     log_answer_lost_append_took_effect,
@@ -205,6 +294,10 @@
     engine_memory_full_preempts,
     service_counts_each_execution,
     service_over_capacity_says_not_run,
+    upstream_says_leaving_in_all_responses_and_goes,
+    upstream_that_says_leaving_wrongly_stays,
+    upstream_pauses_on_command_with_any_value,
+    upstream_pauses_at_a_load,
 )]
 
 if __name__ == "__main__":
