Don't take a predecessor's statement for the new process

Callers lost a healthy upstream: a response to a request that was sent to the former process of an id, and that arrived after the new process was listed, put the new one out of service (a notice to leave, for two minutes and on all hosts), paused it or limited it. Signals were attributed by id alone. The new test signals_ofFormerIncarnation_ignored failed for all three statements (no send, one expected). A response is now heard only if its request was sent after this host learned of the incarnation; a statement that the new process did make comes again with its next response. That another upstream at the same address is not bound either was right already and has a test now.

--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -215,6 +215,7 @@
     }
     Upstream new_upstream;
     new_upstream.entry = entry;
+    new_upstream.known_since = scope.now;
     new_upstream.phase_since = scope.now;
     const auto left = state.left_upstreams.find(entry.id);
     if (left != state.left_upstreams.end() && left->second.start_time_ms == entry.start_time_ms) {
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -61,6 +61,8 @@
 /// An upstream and what this host knows about it.
 struct Upstream {
   UpstreamEntry entry;
+  /// When this host learned of this incarnation.
+  TimePoint known_since{};
   UpstreamPhase phase{UpstreamPhase::kServing};
   TimePoint phase_since{};
   /// It is leaving because its entry was removed; returns to service if the entry reappears.
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -92,6 +92,9 @@
     return;
   }
   Upstream& upstream = found->second;
+  if (event.sent_at < upstream.known_since) {
+    return;  // The former incarnation under this id says it.
+  }
   const backpressure::Signals& signals = event.signals;
   const bool is_unreadable = signals.unreadable.has_value();
   if (is_unreadable) {
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -292,6 +292,45 @@
   CHECK(world.ArrivalsSince("server-1", world.now - 1s) >= 25);
 }
 
+// Guards against a new process that is out of service, or limited, by what its predecessor said in
+// the response to a request that was sent to the predecessor.
+TEST_CASE_METHOD(EntryFixture, "signals_ofFormerIncarnation_ignored", "[entry_pause]") {
+  const backpressure::Signals signals =
+      GENERATE(SignalWorld::Leaving(), SignalWorld::Pause(5s), SignalWorld::Limit(0.0));
+  UpstreamEntry entry = AddUpstream("plain-1", "plain");
+  ReceiveRequest("/book/a");
+  const TimePoint sent_at = now;
+  now += 10ms;
+  entry.start_time_ms += 1000;
+  entry.sequence = ++sequence;
+  Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+  now += 10ms;
+  Apply(UpstreamSignalled{"plain-1", sent_at, signals});
+  ReceiveRequest("/look/a");
+  CHECK(EffectsOf<Send>().size() == 1);
+}
+
+// Guards against a pause, or a notice, of an upstream that holds for another one: one that was
+// registered later with the same address, or a new process under the same id.
+TEST_CASE_METHOD(EntryFixture, "signals_newerRegistration_notBound", "[entry_pause]") {
+  const backpressure::Signals signals =
+      GENERATE(SignalWorld::Leaving(), SignalWorld::Pause(5s), SignalWorld::Limit(0.0));
+  const bool has_new_id = GENERATE(true, false);
+  CAPTURE(has_new_id);
+  UpstreamEntry entry = AddUpstream("plain-1", "plain");
+  state.upstreams.at("plain-1").rate_limit.tokens = 0;
+  now += 10ms;
+  Apply(UpstreamSignalled{"plain-1", now, signals});
+  now += 10ms;
+  entry.id = has_new_id ? "plain-2" : "plain-1";
+  entry.start_time_ms += 1000;
+  entry.sequence = ++sequence;
+  Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+  ReceiveRequest("/look/a");
+  REQUIRE(EffectsOf<Send>().size() == 1);
+  CHECK(EffectsOf<Send>()[0].upstream == entry.id);
+}
+
 class LeavingFixture {};
 
 // Guards against new work for an upstream that says in its responses that it is leaving, also from
