One log line when a pause begins, changes and ends

Each of the requests that were in flight when an upstream began to refuse wrote its own line, as each refusal moves the end of the pause a little, and no line told the end.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -52,6 +52,7 @@
 inline constexpr LogEvent kLimitStated{861, "upstream_limit_stated", LogLevel::kWarning};
 inline constexpr LogEvent kLimitEnded{862, "upstream_limit_ended", LogLevel::kInfo};
 inline constexpr LogEvent kPauseStated{864, "upstream_pause_stated", LogLevel::kWarning};
+inline constexpr LogEvent kPauseEnded{865, "upstream_pause_ended", LogLevel::kInfo};
 inline constexpr LogEvent kSignalUnreadable{863, "upstream_signal_unreadable", LogLevel::kWarning};
 
 }  // namespace log_events
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -346,7 +346,8 @@
   bool is_pending = false;
   for (auto& [id, upstream] : state.upstreams) {
     EndExpiredLimit(scope, upstream);
-    is_pending = is_pending || upstream.rate_limit.requests_per_second;
+    LogPauseEnd(scope, upstream);
+    is_pending = is_pending || upstream.rate_limit.requests_per_second || upstream.logged_pause_end;
     if (upstream.phase == UpstreamPhase::kMissing) {
       // The list can't be read while the store is unreachable; the grace period starts when it is
       // back.
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -86,6 +86,8 @@
   double event_interval_s{0};
   backpressure::RateLimit rate_limit;
   backpressure::Pause pause;
+  /// End of the pause as last logged, until the end itself is logged.
+  std::optional<TimePoint> logged_pause_end;
   /// When this incarnation said that it is leaving, in a response or a report, or when another host
   /// told so.
   std::optional<TimePoint> said_leaving_at;
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -25,8 +25,8 @@
 /// How long hosts tell one another that an upstream is leaving; the store has told it by then.
 constexpr std::chrono::seconds kLeavingReportTime{10};
 
-/// Changes of a limit by a smaller share are neither logged nor told to other hosts at once: an
-/// upstream may state another limit in each response.
+/// Changes of a limit or a pause by a smaller share are neither logged nor told to other hosts at
+/// once: an upstream may state another one in each response.
 constexpr double kNotableChange = 0.1;
 
 bool IsNotableChange(const std::optional<double>& before, const std::optional<double>& after) {
@@ -72,16 +72,26 @@
 }
 
 void AdoptPause(EventScope& scope, Upstream& upstream, std::chrono::milliseconds duration) {
+  LogPauseEnd(scope, upstream);
   const bool was_paused = backpressure::IsPaused(upstream.pause, scope.now);
   const double spread = UnitRendezvousWeight(upstream.entry.id, scope.state.options.host);
   if (!backpressure::AdoptPause(upstream.pause, duration, spread, scope.now)) {
     return;
   }
+  // Requests that were in flight when an upstream began to pause are refused one after another, and
+  // each refusal moves the end a little.
+  const TimePoint until = upstream.pause.until;
+  if (upstream.logged_pause_end &&
+      until - *upstream.logged_pause_end <= kNotableChange * (until - scope.now)) {
+    return;
+  }
+  upstream.logged_pause_end = until;
+  ScheduleUpstreamReview(scope);
   IncrementCounter(scope, kUpstreamSignals, "pause");
   Log(scope, log_events::kPauseStated,
       fmt::format("upstream={} service={} asked_ms={} for_ms={} was_paused={}", upstream.entry.id,
                   upstream.entry.service, duration.count(),
-                  ToMilliseconds(upstream.pause.until - scope.now).count(), was_paused));
+                  ToMilliseconds(until - scope.now).count(), was_paused));
 }
 
 }  // namespace
@@ -175,6 +185,14 @@
   }
 }
 
+void LogPauseEnd(EventScope& scope, Upstream& upstream) {
+  if (upstream.logged_pause_end && !backpressure::IsPaused(upstream.pause, scope.now)) {
+    upstream.logged_pause_end.reset();
+    Log(scope, log_events::kPauseEnded,
+        fmt::format("upstream={} service={}", upstream.entry.id, upstream.entry.service));
+  }
+}
+
 }  // namespace internal
 
 std::vector<ReportedLimit> ReportedLimits(const State& state, TimePoint now, bool only_own) {
--- a/src/snipeturn/entry/upstream_signals.h
+++ b/src/snipeturn/entry/upstream_signals.h
@@ -51,5 +51,8 @@
 /// @brief Ends a limit that the upstream has not repeated for long.
 void EndExpiredLimit(EventScope& scope, Upstream& upstream);
 
+/// @brief Logs the end of a pause that is over.
+void LogPauseEnd(EventScope& scope, Upstream& upstream);
+
 }  // namespace internal
 }  // namespace snipeturn::entry
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -4,6 +4,7 @@
 #include <set>
 #include <vector>
 
+#include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/signal_world.h"
 
 namespace snipeturn::entry {
@@ -292,6 +293,63 @@
   CHECK(world.ArrivalsSince("server-1", world.now - 1s) >= 25);
 }
 
+class RepeatedSignalFixture : public EntryFixture {
+ public:
+  std::size_t CountLines(const LogEvent& event) const {
+    const std::vector<EmitLog> lines = EffectsOf<EmitLog>();
+    return static_cast<std::size_t>(
+        std::count_if(lines.begin(), lines.end(),
+                      [&event](const EmitLog& line) { return line.event.number == event.number; }));
+  }
+
+  /// Delivers the responses to requests that were all in flight, 1 ms apart.
+  std::size_t RespondToAll(const backpressure::Signals& signals, const LogEvent& event) {
+    constexpr int kInFlight = 12;
+    const TimePoint sent_at = now;
+    std::size_t lines = 0;
+    for (int response = 0; response < kInFlight; ++response) {
+      now += 1ms;
+      Apply(UpstreamSignalled{"plain-1", sent_at, signals});
+      lines += CountLines(event);
+    }
+    return lines;
+  }
+};
+
+// Guards against a log line for each of many requests that were in flight at an upstream when it
+// began to refuse, or to say that it is leaving.
+TEST_CASE_METHOD(RepeatedSignalFixture,
+                 "signals_ofManyRequestsInFlight_loggedOnce",
+                 "[entry_pause]") {
+  AddUpstream("plain-1", "plain");
+  SECTION("pause") {
+    CHECK(RespondToAll(SignalWorld::Pause(2s), log_events::kPauseStated) == 1);
+    const TimePoint until = state.upstreams.at("plain-1").pause.until;
+    CHECK(until >= now + 2s);
+    CHECK(RespondToAll(SignalWorld::Pause(6s), log_events::kPauseStated) == 1);
+    CHECK(RespondToAll(SignalWorld::Pause(1s), log_events::kPauseStated) == 0);
+    CHECK(state.upstreams.at("plain-1").pause.until >= until + 4s);
+  }
+  SECTION("leaving") {
+    CHECK(RespondToAll(SignalWorld::Leaving(), log_events::kUpstreamLeaving) == 1);
+    CHECK(RespondToAll({}, log_events::kUpstreamListed) == 0);
+    ReceiveRequest("/look/a");
+    CHECK(EffectsOf<Send>().empty());
+  }
+}
+
+// Guards against a pause whose end can't be seen in the log, or that is logged again and again.
+TEST_CASE_METHOD(RepeatedSignalFixture, "pause_ends_loggedOnce", "[entry_pause]") {
+  AddUpstream("plain-1", "plain");
+  Apply(UpstreamSignalled{"plain-1", now, SignalWorld::Pause(2s)});
+  AdvanceTime(1900ms);
+  CHECK(CountLines(log_events::kPauseEnded) == 0);
+  AdvanceTime(1s);
+  CHECK(CountLines(log_events::kPauseEnded) == 1);
+  AdvanceTime(3s);
+  CHECK(CountLines(log_events::kPauseEnded) == 0);
+}
+
 // Guards against a new process that is out of service, or limited, by what its predecessor said in
 // the response to a request that was sent to the predecessor.
 TEST_CASE_METHOD(EntryFixture, "signals_ofFormerIncarnation_ignored", "[entry_pause]") {
