Metrics of what upstreams state

An operator could see how many statements began, but not of which upstream, whether they are in force and what they cost. The metrics address now lists each statement in force by upstream: its value, how often this host has seen it, and how many requests it has kept back; a counter sums those by signal. The test metrics_statementsInForce_listed failed on all of its lines before.

--- a/src/snipeturn/backpressure/signals.h
+++ b/src/snipeturn/backpressure/signals.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <array>
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string_view>
@@ -22,6 +24,27 @@
   return "";
 }
 
+/// Responses of an upstream with a kind of statement, and requests that were not sent to it for
+/// that.
+struct StatementCount {
+  std::uint64_t seen{0};
+  std::uint64_t kept_back{0};
+};
+
+/// By SignalKind.
+using StatementCounts = std::array<StatementCount, 3>;
+
+/// @brief Returns the count of a kind of statement.
+[[nodiscard]] constexpr StatementCount& CountOf(StatementCounts& counts, SignalKind kind) noexcept {
+  return counts[static_cast<std::size_t>(kind)];
+}
+
+/// @brief Returns the count of a kind of statement.
+[[nodiscard]] constexpr const StatementCount& CountOf(const StatementCounts& counts,
+                                                      SignalKind kind) noexcept {
+  return counts[static_cast<std::size_t>(kind)];
+}
+
 /// What an upstream says in the head of a response about the requests that it wants.
 struct Signals {
   /// Requests a second that it takes from all hosts together; empty if it states no limit.
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -60,6 +60,7 @@
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
 inline constexpr CounterName kQuarantines{"snipeturn_quarantines_total", "change"};
 inline constexpr CounterName kUpstreamSignals{"snipeturn_upstream_signals_total", "signal"};
+inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -165,9 +165,21 @@
   return count > 0;
 }
 
+/// Counts the upstreams to which a request isn't sent for what they stated, each once.
+void RecordKeptBack(EventScope& scope, Request& request, const Placement& placement) {
+  for (const KeptBack& kept_back : placement.kept_back) {
+    if (request.kept_back_from.insert(kept_back.upstream).second) {
+      Upstream& upstream = scope.state.upstreams.at(kept_back.upstream);
+      backpressure::CountOf(upstream.statements, kept_back.signal).kept_back += 1;
+      IncrementCounter(scope, kKeptBack, ToString(kept_back.signal));
+    }
+  }
+}
+
 /// Sends a queued request if an upstream has room.
 Placement TryDispatch(EventScope& scope, Request& request) {
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
+  RecordKeptBack(scope, request, placement);
   if (placement.result != PlacementResult::kPlaced) {
     ScheduleDispatch(scope, placement.available_from);
     return placement;
@@ -332,6 +344,7 @@
     request.excluded.insert(attempt.upstream);
   }
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
+  RecordKeptBack(scope, request, placement);
   if (placement.result != PlacementResult::kPlaced ||
       !TryConsumeRetry(scope.state.retry_budgets[request.service], scope.state.options.bounds,
                        scope.state.hosts, scope.now)) {
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <utility>
+#include <vector>
 
 #include "snipeturn/base/hash.h"
 #include "snipeturn/entry/admission.h"
@@ -152,11 +154,18 @@
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
   const double zone_penalty = HasCells(state) ? kCrossZonePenaltyWithCells : kCrossZonePenalty;
   Placement best;
+  std::vector<KeptBack> kept_back;
   bool is_any_full = false;
   double best_score = std::numeric_limits<double>::max();
   for (const auto& [id, upstream] : state.upstreams) {
-    if (upstream.entry.service != request.service || !IsServing(state, upstream) ||
-        request.excluded.count(id) > 0 || &upstream == source) {
+    if (upstream.entry.service != request.service || request.excluded.count(id) > 0 ||
+        &upstream == source) {
+      continue;
+    }
+    if (!IsServing(state, upstream)) {
+      if (upstream.said_leaving_at) {
+        kept_back.push_back({id, backpressure::SignalKind::kLeaving});
+      }
       continue;
     }
     const auto found = total.find(id);
@@ -177,6 +186,9 @@
     if (available_from > now &&
         (source == nullptr || backpressure::IsPaused(upstream.pause, now))) {
       best.available_from = std::min(best.available_from, available_from);
+      kept_back.push_back({id, backpressure::NextStart(upstream.pause, now) > now
+                                   ? backpressure::SignalKind::kPause
+                                   : backpressure::SignalKind::kLimit});
       continue;
     }
     const double jitter = source != nullptr
@@ -204,12 +216,14 @@
     }
     if (score < best_score) {
       best_score = score;
-      best = {PlacementResult::kPlaced, id, scored.utilisation, FailureRateOf(failures, id), now};
+      best = {PlacementResult::kPlaced,    id,  scored.utilisation,
+              FailureRateOf(failures, id), now, {}};
     }
   }
   if (best.result == PlacementResult::kNoRoom && !is_any_full) {
     best.result = PlacementResult::kDeferred;
   }
+  best.kept_back = std::move(kept_back);
   return best;
 }
 
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include <string_view>
+#include <vector>
 
+#include "snipeturn/backpressure/signals.h"
 #include "snipeturn/entry/state.h"
 
 namespace snipeturn::entry {
@@ -16,6 +18,12 @@
   kNoUpstream,
 };
 
+/// An upstream that is passed over for what it stated.
+struct KeptBack {
+  UpstreamId upstream;
+  backpressure::SignalKind signal{};
+};
+
 struct Placement {
   PlacementResult result{PlacementResult::kNoUpstream};
   UpstreamId upstream;
@@ -25,6 +33,7 @@
   double failure_rate{0};
   /// Earliest time at which an upstream that has room wants a request.
   TimePoint available_from{TimePoint::max()};
+  std::vector<KeptBack> kept_back;
 };
 
 /// @brief Returns whether an upstream may be down although it is still listed.
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -93,6 +93,8 @@
   std::set<UpstreamId> sent_to;
   /// Upstreams that are excluded from retries and as the target of a migration.
   std::set<UpstreamId> excluded;
+  /// Upstreams that were passed over for what they stated.
+  std::set<UpstreamId> kept_back_from;
   std::optional<TimePoint> first_sent_at;
   std::string last_reason;
   /// Forecast of the complete output.
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -9,6 +9,7 @@
 
 #include "snipeturn/backpressure/pause.h"
 #include "snipeturn/backpressure/rate_limit.h"
+#include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/fwd.h"
@@ -88,6 +89,7 @@
   backpressure::Pause pause;
   /// End of the pause as last logged, until the end itself is logged.
   std::optional<TimePoint> logged_pause_end;
+  backpressure::StatementCounts statements;
   /// When this incarnation said that it is leaving, in a response or a report, or when another host
   /// told so.
   std::optional<TimePoint> said_leaving_at;
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -118,6 +118,10 @@
   const bool states_limit = signals.requests_per_second.has_value();
   const bool states_no_limit =
       event.is_final && !states_limit && signals.unreadable != backpressure::SignalKind::kLimit;
+  backpressure::StatementCounts& counts = upstream.statements;
+  CountOf(counts, backpressure::SignalKind::kLimit).seen += states_limit ? 1 : 0;
+  CountOf(counts, backpressure::SignalKind::kPause).seen += signals.pause ? 1 : 0;
+  CountOf(counts, backpressure::SignalKind::kLeaving).seen += signals.is_leaving ? 1 : 0;
   if (states_limit || states_no_limit) {
     AdoptLimit(scope, upstream,
                backpressure::MakeStatement(signals.requests_per_second, event.sent_at, scope.now));
@@ -189,12 +193,49 @@
   if (upstream.logged_pause_end && !backpressure::IsPaused(upstream.pause, scope.now)) {
     upstream.logged_pause_end.reset();
     Log(scope, log_events::kPauseEnded,
-        fmt::format("upstream={} service={}", upstream.entry.id, upstream.entry.service));
+        fmt::format("upstream={} service={} kept_back={}", upstream.entry.id,
+                    upstream.entry.service,
+                    CountOf(upstream.statements, backpressure::SignalKind::kPause).kept_back));
   }
 }
 
+namespace {
+
+/// Value of a statement that is in force.
+std::optional<double> ValueInForce(const Upstream& upstream,
+                                   backpressure::SignalKind kind,
+                                   TimePoint now) {
+  using Seconds = std::chrono::duration<double>;
+  switch (kind) {
+    case backpressure::SignalKind::kLimit:
+      return upstream.rate_limit.requests_per_second;
+    case backpressure::SignalKind::kPause:
+      return backpressure::IsPaused(upstream.pause, now)
+                 ? std::optional(Seconds(upstream.pause.until - now).count())
+                 : std::nullopt;
+    case backpressure::SignalKind::kLeaving:
+      return upstream.said_leaving_at && upstream.phase == UpstreamPhase::kLeaving
+                 ? std::optional(Seconds(now - *upstream.said_leaving_at).count())
+                 : std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace
 }  // namespace internal
 
+std::vector<StatementInForce> StatementsInForce(const State& state,
+                                                backpressure::SignalKind kind,
+                                                TimePoint now) {
+  std::vector<StatementInForce> statements;
+  for (const auto& [id, upstream] : state.upstreams) {
+    if (const std::optional<double> value = internal::ValueInForce(upstream, kind, now)) {
+      statements.push_back({id, *value, backpressure::CountOf(upstream.statements, kind)});
+    }
+  }
+  return statements;
+}
+
 std::vector<ReportedLimit> ReportedLimits(const State& state, TimePoint now, bool only_own) {
   std::vector<ReportedLimit> limits;
   for (const auto& [id, upstream] : state.upstreams) {
--- a/src/snipeturn/entry/upstream_signals.h
+++ b/src/snipeturn/entry/upstream_signals.h
@@ -23,6 +23,23 @@
                                                             TimePoint now,
                                                             bool only_own);
 
+/// A statement of an upstream that is in force, for the metrics.
+struct StatementInForce {
+  UpstreamId upstream;
+  /// Requests a second, time left of the pause or time since the notice, in seconds.
+  double value{0};
+  backpressure::StatementCount count;
+};
+
+/// @brief Returns the statements of a kind that are in force.
+/// @param state The entry state.
+/// @param kind Kind of the statements.
+/// @param now Current time.
+/// @return At most one of each upstream, by its id.
+[[nodiscard]] std::vector<StatementInForce> StatementsInForce(const State& state,
+                                                              backpressure::SignalKind kind,
+                                                              TimePoint now);
+
 namespace internal {
 
 /// @brief Handles what an upstream says about itself in the head of a response.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/address.hpp>
+#include <string_view>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -12,6 +14,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/upstream_signals.h"
 #include "snipeturn/loop/boot_clock.h"
 
 namespace snipeturn::loop {
@@ -28,6 +31,42 @@
 /// Period of checks whether the process can exit.
 constexpr std::chrono::milliseconds kExitCheckInterval{10};
 
+/// Gauges of one kind of statement of upstreams.
+struct StatementGauges {
+  backpressure::SignalKind kind;
+  std::string_view value;
+  std::string_view seen;
+  std::string_view kept_back;
+};
+
+constexpr std::array<StatementGauges, 3> kStatementGauges{{
+    {backpressure::SignalKind::kLimit, "snipeturn_upstream_limit_per_second",
+     "snipeturn_upstream_limits_seen", "snipeturn_upstream_limit_kept_back"},
+    {backpressure::SignalKind::kPause, "snipeturn_upstream_pause_seconds",
+     "snipeturn_upstream_pauses_seen", "snipeturn_upstream_pause_kept_back"},
+    {backpressure::SignalKind::kLeaving, "snipeturn_upstream_leaving_seconds",
+     "snipeturn_upstream_leavings_seen", "snipeturn_upstream_leaving_kept_back"},
+}};
+
+/// Makes gauges of the statements of upstreams that are in force.
+std::vector<Gauge> MakeStatementGauges(const entry::State& state, TimePoint now) {
+  std::vector<Gauge> gauges;
+  for (const StatementGauges& names : kStatementGauges) {
+    const std::vector<entry::StatementInForce> statements =
+        entry::StatementsInForce(state, names.kind, now);
+    const auto add = [&](std::string_view name, auto value_of) {
+      for (const entry::StatementInForce& statement : statements) {
+        gauges.push_back({std::string(name), "upstream", statement.upstream,
+                          static_cast<double>(value_of(statement))});
+      }
+    };
+    add(names.value, [](const auto& statement) { return statement.value; });
+    add(names.seen, [](const auto& statement) { return statement.count.seen; });
+    add(names.kept_back, [](const auto& statement) { return statement.count.kept_back; });
+  }
+  return gauges;
+}
+
 WallTime ReadWallTime() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
@@ -186,7 +225,8 @@
 }
 
 void EntryRuntime::HandleMetricsRequest(ConnectionKey key) {
-  const std::vector<Gauge> gauges{
+  std::vector<Gauge> gauges = internal::MakeStatementGauges(state_, BootTime());
+  const std::vector<Gauge> own{
       {"snipeturn_open_requests", "", "", static_cast<double>(state_.requests.size())},
       {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
       {"snipeturn_opened_connections", "", "", static_cast<double>(client_.opened_connections())},
@@ -199,6 +239,7 @@
       {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
       {"snipeturn_cells_heard", "", "",
        static_cast<double>(entry::CountLiveCells(state_, BootTime()))}};
+  gauges.insert(gauges.end(), own.begin(), own.end());
   FindConnection(key)->SendResponse(
       FormatResponse(200, "text/plain; version=0.0.4", metrics_.Render(gauges), "", false), false);
 }
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -50,6 +50,44 @@
   }
 }
 
+// Guards against an operator who can't see which upstream keeps requests back, and against metrics
+// that grow with upstreams that state nothing.
+TEST_CASE_METHOD(ResponseFixture, "metrics_statementsInForce_listed", "[loop]") {
+  AddUpstream("plain-2", "plain", endpoint());
+  const auto says = [this](const std::string& id, const backpressure::Signals& signals) {
+    runtime.Apply(entry::UpstreamSignalled{id, BootTime(), signals});
+  };
+  const auto has = [this](const std::string& line) {
+    return ReadMetrics().find(line) != std::string::npos;
+  };
+  CHECK_FALSE(has("{upstream="));
+  backpressure::Signals signals;
+  signals.pause = 600ms;
+  says("plain-1", signals);
+  says("plain-1", signals);
+  signals = {};
+  signals.is_leaving = true;
+  says("plain-2", signals);
+  signals = {};
+  signals.requests_per_second = 2.5;
+  says("engine-1", signals);
+  Write(caller, RequestText("r1", "/book/a"));
+  RunFor(50ms);
+  CHECK(has("snipeturn_upstream_pause_seconds{upstream=\"plain-1\"} 0."));
+  CHECK(has("snipeturn_upstream_pauses_seen{upstream=\"plain-1\"} 2\n"));
+  CHECK(has("snipeturn_upstream_pause_kept_back{upstream=\"plain-1\"} 1\n"));
+  CHECK(has("snipeturn_upstream_leaving_seconds{upstream=\"plain-2\"} 0."));
+  CHECK(has("snipeturn_upstream_leavings_seen{upstream=\"plain-2\"} 1\n"));
+  CHECK(has("snipeturn_upstream_leaving_kept_back{upstream=\"plain-2\"} 1\n"));
+  CHECK(has("snipeturn_upstream_limit_per_second{upstream=\"engine-1\"} 2.5\n"));
+  CHECK(has("snipeturn_upstream_limits_seen{upstream=\"engine-1\"} 1\n"));
+  CHECK(has("snipeturn_upstream_limit_kept_back{upstream=\"engine-1\"} 0\n"));
+  CHECK(has("snipeturn_kept_back_total{signal=\"pause\"} 1\n"));
+  RunFor(1200ms);
+  CHECK_FALSE(has("snipeturn_upstream_pause_seconds{"));
+  CHECK(has("snipeturn_upstream_leaving_seconds{"));
+}
+
 // Guards against a copy of an earlier refusal, late on a kept connection, that is taken for the
 // response to the next request: its caller would repeat a request that runs.
 TEST_CASE_METHOD(ResponseFixture, "refusal_writtenAgain_notTakenForNextResponse", "[loop]") {
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -88,6 +88,8 @@
     options.ready = {"127.0.0.1", FreePort()};
     peer = {"127.0.0.1", FreePort()};
     options.peer = peer;
+    metrics = FreePort();
+    options.metrics = Endpoint{"127.0.0.1", metrics};
     return options;
   }
 
@@ -107,6 +109,14 @@
     return !upstream_sockets.empty();
   }
 
+  /// Returns the text of the metrics address.
+  std::string ReadMetrics() {
+    tcp::socket reader(context);
+    reader.connect({boost::asio::ip::address_v4::loopback(), metrics});
+    Write(reader, "GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n");
+    return ReadUntil(reader, "snipeturn_cells_heard{");
+  }
+
   /// Stops the runtime and runs the loop until the exit was decided.
   void StopUntilExitIsDecided() {
     runtime.Apply(entry::ShutdownRequested{});
@@ -115,6 +125,7 @@
 
   std::uint16_t front{0};
   Endpoint peer;
+  std::uint16_t metrics{0};
   std::uint64_t last_offset{0};
   LogWriter log;
   EntryRuntime runtime;
