--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -221,6 +221,8 @@
             if pause[2] > MAX_REQUESTS_IN_PAUSE and is_bound_since(pause[0] - PAUSE_GRACE_S):
                 self.world.fail(f"BUDGET: {request} at {self.name}, which asked {daemon.name} "
                                 f"for a pause {now - pause[0] + PAUSE_GRACE_S:.1f} s before")
+        if self.fault == "pause":
+            self.world.count("refused with a pause")
         # A daemon that cancels a hedged request may not read the response.
         if self.fault == "pause" and request not in self.world.idempotent:
             pauses.append([now + PAUSE_GRACE_S, now + PAUSE_S, 0])
