Send requests of a planned stop only to upstreams that this host has used of late

Placement now leaves out upstreams without a response in the last 15 s while the host stops, unless the request's deadline ends before the stop does. What finds no other place waits, and is refused as not run once it can't end in time.

Not measured: the refusals on large sites, whose hosts use few of the upstreams within 15 s.

--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -69,6 +69,10 @@
 /// Penalty for a migration to an upstream that wants no further request now.
 constexpr double kUnavailablePenalty = 10.0;
 
+/// Time after its last response for which this host knows an upstream's speed. The times recorded
+/// for its service last as long.
+constexpr std::chrono::seconds kKnownSpeedTtl{15};
+
 struct UpstreamScore {
   double score{0};
   double utilisation{0};
@@ -138,6 +142,18 @@
   return count > 0 ? sum / count : 0;
 }
 
+/// Tells whether a request could be cut off by a planned stop as its upstream is slower than those
+/// that this host has used of late, by which the request was admitted.
+bool IsSpeedUnknownInStop(const State& state,
+                          const Request& request,
+                          const Upstream& upstream,
+                          TimePoint now) {
+  const bool is_used =
+      upstream.last_response_at && now - *upstream.last_response_at < kKnownSpeedTtl;
+  return state.is_stopping && !is_used &&
+         request.deadline > state.stopping_since + state.options.bounds.grace;
+}
+
 /// Common part of PlaceRequest() and PlaceMigration(); `source` is the engine to migrate from, or
 /// nullptr for a request.
 Placement ChooseUpstream(const State& state,
@@ -168,6 +184,10 @@
       }
       continue;
     }
+    if (source == nullptr && IsSpeedUnknownInStop(state, request, upstream, now)) {
+      is_any_full = true;
+      continue;
+    }
     const auto found = total.find(id);
     const UpstreamLoad load = found == total.end() ? UpstreamLoad{} : found->second;
     UpstreamScore scored = service->engine
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -219,6 +219,22 @@
   CHECK(EffectsOf<Send>().empty());
 }
 
+// Guards against a stream that is admitted by the speed of the engines that this host has used,
+// sent to one that it hasn't, and cut off as that one is slower.
+TEST_CASE_METHOD(ShutdownFixture, "stream_engineNotUsedBefore_sentToUsedEngine", "[entry]") {
+  ServeStream(100ms, 20ms, 5);
+  for (int number = 2; number < 10; ++number) {
+    AddUpstream("engine-" + std::to_string(number), "engines");
+  }
+  max_output_tokens = 8;
+  Apply(ShutdownRequested{});
+  for (int count = 0; count < 10; ++count) {
+    ReceiveRequest("/long/a", 100, 8);
+    REQUIRE(EffectsOf<Send>().size() == 1);
+    CHECK(EffectsOf<Send>()[0].upstream == "engine-1");
+  }
+}
+
 // Guards against a retry that the process can't await.
 TEST_CASE_METHOD(ShutdownFixture, "refusedStream_retryWouldOutliveProcess_refused", "[entry]") {
   AddUpstream("engine-2", "engines");
