Count an upstream as used for as long as the times of its service

The times of a service last for up to 30 s; with 15 s a host could have an estimate and no upstream to send to. The grace period is that at SIGTERM.

--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -71,7 +71,7 @@
 
 /// Time after its last response for which this host knows an upstream's speed. The times recorded
 /// for its service last as long.
-constexpr std::chrono::seconds kKnownSpeedTtl{15};
+constexpr std::chrono::seconds kKnownSpeedTtl{30};
 
 struct UpstreamScore {
   double score{0};
@@ -151,7 +151,7 @@
   const bool is_used =
       upstream.last_response_at && now - *upstream.last_response_at < kKnownSpeedTtl;
   return state.is_stopping && !is_used &&
-         request.deadline > state.stopping_since + state.options.bounds.grace;
+         request.deadline > state.stopping_since + state.stop_grace;
 }
 
 /// Common part of PlaceRequest() and PlaceMigration(); `source` is the engine to migrate from, or
--- a/test/snipeturn/loop/entry_runtime_stop_test.cc
+++ b/test/snipeturn/loop/entry_runtime_stop_test.cc
@@ -71,7 +71,9 @@
 }
 
 // Guards against a response that is dropped because its caller reads nothing for some seconds.
-TEST_CASE_METHOD(StopFixture, "largeResponse_callerPausesReading_arrivesWhole", "[loop_slow_caller]") {
+TEST_CASE_METHOD(StopFixture,
+                 "largeResponse_callerPausesReading_arrivesWhole",
+                 "[loop_slow_caller]") {
   tcp::socket slow(context);
   slow.open(tcp::v4());
   slow.set_option(boost::asio::socket_base::receive_buffer_size(8192));
