--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -143,7 +143,7 @@
 }
 
 /// Tells whether a request could be cut off by a planned stop as its upstream is slower than those
-/// that this host has used of late, by which the request was admitted.
+/// that this host has used recently, by which the request was admitted.
 bool IsSpeedUnknownInStop(const State& state,
                           const Request& request,
                           const Upstream& upstream,
--- a/src/snipeturn/entry/service_times.h
+++ b/src/snipeturn/entry/service_times.h
@@ -11,7 +11,7 @@
 
 namespace snipeturn::entry {
 
-/// Largest of the values that were recorded of late. Forgets a value after one to two windows.
+/// Largest of the values that were recorded recently. Forgets a value after one to two windows.
 template <typename Value>
 struct RecentMaximum {
   /// A window holds several requests of each kind at a host with little traffic, and a service that
@@ -40,7 +40,7 @@
   }
 }
 
-/// @return The largest value that was recorded of late; none without a recent record.
+/// @return The largest value that was recorded recently; none without a recent record.
 template <typename Value>
 [[nodiscard]] std::optional<Value> Largest(const RecentMaximum<Value>& recent, TimePoint now) {
   constexpr auto kWindow = RecentMaximum<Value>::kWindow;
@@ -53,7 +53,7 @@
 
 using RecentLongest = RecentMaximum<std::chrono::microseconds>;
 
-/// How long the upstreams of a service took of late for requests of this host, whichever of them
+/// How long the upstreams of a service took recently for requests of this host, whichever of them
 /// it was.
 struct ServiceTimes {
   /// From a send to the complete response of a plain service.
--- a/src/snipeturn/entry/shutdown.cc
+++ b/src/snipeturn/entry/shutdown.cc
@@ -18,10 +18,10 @@
 namespace {
 
 /// Least time for which a plain request has to fit into the rest of the grace period, however fast
-/// its service was of late.
+/// its service was recently.
 constexpr std::chrono::milliseconds kMinPlainDuration{800};
-/// Least time to the first event of a stream that is reckoned with: prompts of other requests may
-/// be read before its own.
+/// Least assumed time to the first event of a stream: prompts of other requests may be read before
+/// its own.
 constexpr std::chrono::milliseconds kMinTimeToFirstEvent{1000};
 /// Least time between two events: events that an engine sends together are read at once, so that a
 /// short stream shows no pace.
@@ -31,6 +31,10 @@
 /// The balancer removes a host after two failed checks, a second apart; new callers arrive until
 /// then.
 constexpr std::chrono::milliseconds kBalancerDelay{2500};
+// Near its end the grace period goes through three times: nothing is sent any more that would end
+// after kGraceMargin before SIGKILL, open requests are ended at kGraceReserve before it, and the
+// process exits at kKillMargin before it.
+
 /// Part of the grace period that is reserved for sending the last bytes to callers.
 constexpr std::chrono::milliseconds kGraceReserve{400};
 /// Time before the end of the grace period, when the process would be killed, at which it exits
