Loop: keep callers that read slowly

Cause: TCP_USER_TIMEOUT (2.5 s) also counts the time in which the peer's receive window is full. The kernel then ends the connection although the peer's host acknowledges each probe of the window. The class is that of stream-cut-at-stop: a deadline of our own on the speed of another party.

Ruled out: a longer or no TCP_USER_TIMEOUT. Its value also bounds the time between probes, which double to minutes without it, so that an unreachable caller would keep its work for as long.

Why it works: every 100 ms, connections with unacknowledged bytes (SIOCOUTQ) that make no progress read the time of the peer's last acknowledgement (TCP_INFO). If one came after the last progress and within 3 s, the limit is set to the time since the progress plus 2.5 s, so the kernel's next probe comes within 2.5 s and one lost probe is tolerated. A close or reset reaches a connection with a full window at once, as before. Where TCP_INFO or SIOCOUTQ isn't supported the limit stays at 2.5 s. After the close the kernel has 30 s for the last bytes: no request is open for them any more. A process that stands still for over 2 s while a window is full can still lose that connection.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -170,6 +170,7 @@
 }
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
+  connection_->CheckAcknowledgements(now);
   if (has_open_request_ || is_closing_) {
     return;
   }
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -59,7 +59,7 @@
   void SetLimits(const ConnectionLimits& limits) { limits_ = limits; }
 
   /// @brief Closes the connection when it was idle for too long, and rejects a request whose bytes
-  ///     arrive too slowly.
+  ///     arrive too slowly. Keeps a caller that reads slowly from being taken for unreachable.
   void CheckTimeouts(TimePoint now);
 
   /// @return True when no request is open, no byte of one has arrived, and all responses are sent.
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -1,13 +1,18 @@
 #include "snipeturn/loop/connection.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <boost/asio/buffer.hpp>
+#include <optional>
 #include <utility>
 
+#include "snipeturn/loop/boot_clock.h"
+
 namespace snipeturn::loop {
 namespace internal {
 namespace {
@@ -20,14 +25,41 @@
 /// probes that end the connection: an unreachable peer is detected after about three seconds.
 constexpr int kKeepAliveProbeSeconds = 1;
 constexpr int kKeepAliveProbes = 2;
-/// Longest time for which written bytes may stay unacknowledged (TCP_USER_TIMEOUT).
-constexpr int kMaxUnacknowledgedMs = 2500;
+/// Longest time for which written bytes may stay unacknowledged (TCP_USER_TIMEOUT). The kernel also
+/// counts the time in which the peer's receive window is full, and probes the window at its end at
+/// the latest.
+constexpr std::chrono::milliseconds kMaxUnacknowledged{2500};
+/// The same after the connection was closed: the kernel then sends the last bytes, for which no
+/// request is kept open.
+constexpr std::chrono::milliseconds kMaxUnacknowledgedAfterClose{30000};
+/// Time without any acknowledgement after which a peer with a full window is taken for unreachable.
+/// Probes of the window may be kMaxUnacknowledged apart.
+constexpr std::chrono::milliseconds kMaxSilence{3000};
 
 void SetOption(int descriptor, int level, int name, int value) {
   // Errors are ignored: without these options an unreachable peer is only detected later.
   static_cast<void>(::setsockopt(descriptor, level, name, &value, sizeof value));
 }
 
+/// Returns the number of bytes in the socket's send buffer that the peer hasn't acknowledged.
+std::optional<std::uint64_t> ReadUnacknowledged(int descriptor) {
+  int bytes = 0;
+  if (::ioctl(descriptor, SIOCOUTQ, &bytes) != 0 || bytes < 0) {
+    return std::nullopt;
+  }
+  return static_cast<std::uint64_t>(bytes);
+}
+
+/// Returns the time since the peer's last acknowledgement, also if it acknowledged no new bytes.
+std::optional<std::chrono::milliseconds> ReadSilence(int descriptor) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(descriptor, IPPROTO_TCP, TCP_INFO, &info, &size) != 0 || size < sizeof info) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+}
+
 std::array<char, kReadBytes>& ReadBuffer() {
   static std::array<char, kReadBytes> buffer;
   return buffer;
@@ -38,7 +70,9 @@
 
 Connection::Connection(Socket socket) : socket_(std::move(socket)) {}
 
-Connection::~Connection() = default;
+Connection::~Connection() {
+  Close();
+}
 
 void Connection::Start(Handlers handlers) {
   handlers_ = std::move(handlers);
@@ -50,7 +84,8 @@
   internal::SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, internal::kKeepAliveProbeSeconds);
   internal::SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, internal::kKeepAliveProbeSeconds);
   internal::SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, internal::kKeepAliveProbes);
-  internal::SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, internal::kMaxUnacknowledgedMs);
+  LimitUnacknowledged(internal::kMaxUnacknowledged);
+  checked_at_ = earliest_progress_ = latest_progress_ = BootTime();
   AwaitReadable();
   Flush();
 }
@@ -75,10 +110,54 @@
     return;
   }
   is_open_ = false;
+  LimitUnacknowledged(internal::kMaxUnacknowledgedAfterClose);
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
 
+void Connection::CheckAcknowledgements(TimePoint now) {
+  if (!is_open_) {
+    return;
+  }
+  // Most connections wait for no acknowledgement, which needs no system call to tell.
+  if (acknowledged_bytes_ == written_bytes_ && output_.empty()) {
+    RecordProgress(acknowledged_bytes_, now);
+    return;
+  }
+  const int descriptor = socket_.native_handle();
+  const auto unacknowledged = internal::ReadUnacknowledged(descriptor);
+  if (!unacknowledged || *unacknowledged > written_bytes_) {
+    return;
+  }
+  const std::uint64_t acknowledged_bytes = written_bytes_ - *unacknowledged;
+  if (acknowledged_bytes != acknowledged_bytes_) {
+    RecordProgress(acknowledged_bytes, now);
+    return;
+  }
+  checked_at_ = now;
+  const auto silence = internal::ReadSilence(descriptor);
+  if (!silence || *silence > internal::kMaxSilence || now - *silence <= latest_progress_) {
+    return;
+  }
+  is_limit_extended_ = true;
+  LimitUnacknowledged(ToMilliseconds(now - earliest_progress_) + internal::kMaxUnacknowledged);
+}
+
+void Connection::RecordProgress(std::uint64_t acknowledged_bytes, TimePoint now) {
+  acknowledged_bytes_ = acknowledged_bytes;
+  earliest_progress_ = checked_at_;
+  latest_progress_ = checked_at_ = now;
+  if (is_limit_extended_) {
+    is_limit_extended_ = false;
+    LimitUnacknowledged(internal::kMaxUnacknowledged);
+  }
+}
+
+void Connection::LimitUnacknowledged(std::chrono::milliseconds limit) {
+  internal::SetOption(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                      static_cast<int>(limit.count()));
+}
+
 void Connection::SetReading(bool is_reading) {
   is_reading_ = is_reading;
   if (is_reading_) {
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -10,6 +10,7 @@
 #include <string_view>
 
 #include "snipeturn/base/host.h"
+#include "snipeturn/base/time.h"
 
 namespace snipeturn::loop {
 
@@ -25,7 +26,8 @@
 
 /// A TCP connection of the event loop: delivers received bytes to a callback and buffers output.
 ///
-/// Detects an unreachable peer by keep-alive probes and by a time limit on unacknowledged bytes.
+/// Detects an unreachable peer by keep-alive probes and by a time limit on unacknowledged bytes,
+/// which CheckAcknowledgements() extends for a peer that responds but doesn't read.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   using Socket = boost::asio::ip::tcp::socket;
@@ -59,6 +61,12 @@
   /// @brief Pauses or resumes reading, for back pressure.
   void SetReading(bool is_reading);
 
+  /// @brief Extends the time limit on unacknowledged bytes while the peer's host acknowledges
+  ///     probes although its receive window is full. To be called several times a second; without
+  ///     support by the socket the time limit stays as it is.
+  /// @param now Present time.
+  void CheckAcknowledgements(TimePoint now);
+
   [[nodiscard]] bool is_open() const noexcept { return is_open_; }
   [[nodiscard]] std::size_t unwritten_bytes() const noexcept { return output_.size(); }
   /// @return Bytes that the socket has accepted so far.
@@ -71,11 +79,19 @@
   void AwaitWritable();
   void Flush();
   void HandleEnd(ConnectionEnd end, const std::string& reason);
+  void RecordProgress(std::uint64_t acknowledged_bytes, TimePoint now);
+  void LimitUnacknowledged(std::chrono::milliseconds limit);
 
   Socket socket_;
   Handlers handlers_;
   std::string output_;
   std::uint64_t written_bytes_{0};
+  std::uint64_t acknowledged_bytes_{0};
+  /// The last acknowledgement of new bytes came in this interval.
+  TimePoint earliest_progress_;
+  TimePoint latest_progress_;
+  TimePoint checked_at_;
+  bool is_limit_extended_{false};
   bool is_open_{true};
   bool is_reading_{true};
   bool awaits_readable_{false};
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -456,7 +456,7 @@
   BroadcastLoad(now);
   SendCellLoad(now);
   CheckConnectionTimeouts(now);
-  client_.CloseExpiredConnections();
+  client_.CheckConnections();
   log_.Flush();
   housekeeping_timer_.expires_after(internal::kHousekeepingInterval);
   housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -398,8 +398,13 @@
   idle_channels_.erase(found);
 }
 
-void HttpClient::CloseExpiredConnections() {
+void HttpClient::CheckConnections() {
   const auto now = BootTime();
+  for (const auto& [key, exchange] : exchanges_) {
+    if (exchange->channel) {
+      exchange->channel->connection->CheckAcknowledgements(now);
+    }
+  }
   for (auto pool = idle_channels_.begin(); pool != idle_channels_.end();) {
     auto& channels = pool->second;
     channels.erase(std::remove_if(channels.begin(), channels.end(),
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -89,8 +89,10 @@
   /// @brief Closes the idle connections of a pool.
   void CloseIdleConnections(const std::string& pool);
 
-  /// @brief Closes connections whose idle time has reached their server's timeout.
-  void CloseExpiredConnections();
+  /// @brief Closes connections whose idle time has reached their server's timeout, and keeps a
+  ///     server that reads slowly from being taken for unreachable. To be called several times a
+  ///     second.
+  void CheckConnections();
 
   /// @return Connections opened so far.
   [[nodiscard]] std::uint64_t opened_connections() const noexcept { return opened_connections_; }
