--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -15,6 +15,7 @@
 inline constexpr LogEvent kReloadFailed{805, "entry_reload_failed", LogLevel::kError};
 inline constexpr LogEvent kLinesDropped{806, "entry_lines_dropped", LogLevel::kWarning};
 inline constexpr LogEvent kExited{807, "entry_exited", LogLevel::kInfo};
+inline constexpr LogEvent kLoopDelayed{808, "entry_loop_delayed", LogLevel::kWarning};
 
 inline constexpr LogEvent kDesiredState{811, "desired_state", LogLevel::kInfo};
 inline constexpr LogEvent kEvacuation{812, "evacuation", LogLevel::kInfo};
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -25,6 +25,8 @@
 constexpr int kBacklog = 1024;
 /// Period of timeout checks, log flushes and load broadcasts.
 constexpr std::chrono::milliseconds kHousekeepingInterval{100};
+/// Delay of the periodic work at which it is logged.
+constexpr std::chrono::milliseconds kMaxLoopDelay{300};
 /// Time from the decision to exit during which requests on open connections are refused, so that a
 /// caller that has just sent one gets a response.
 constexpr std::chrono::milliseconds kExitDelay{150};
@@ -451,13 +453,25 @@
   }
 }
 
+void EntryRuntime::LogLoopDelay(TimePoint now) {
+  const std::uint64_t datagrams = peer_socket_->received_datagrams();
+  if (housekeeping_due_ && now - *housekeeping_due_ > internal::kMaxLoopDelay) {
+    Log({entry::log_events::kLoopDelayed,
+         fmt::format("late_ms={} datagrams={}", ToMilliseconds(now - *housekeeping_due_).count(),
+                     datagrams - housekeeping_datagrams_)});
+  }
+  housekeeping_datagrams_ = datagrams;
+}
+
 void EntryRuntime::DoHousekeeping() {
   const TimePoint now = BootTime();
+  LogLoopDelay(now);
   BroadcastLoad(now);
   SendCellLoad(now);
   CheckConnectionTimeouts(now);
   client_.CheckConnections();
   log_.Flush();
+  housekeeping_due_ = BootTime() + internal::kHousekeepingInterval;
   housekeeping_timer_.expires_after(internal::kHousekeepingInterval);
   housekeeping_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error && !is_stopped_) {
@@ -507,6 +521,7 @@
 
 void EntryRuntime::AwaitExit(TimePoint earliest, TimePoint deadline) {
   const TimePoint now = BootTime();
+  LogLoopDelay(now);
   CheckConnectionTimeouts(now);
   log_.Flush();
   const bool are_idle = std::all_of(connections_.begin(), connections_.end(),
@@ -516,6 +531,7 @@
     context_.stop();
     return;
   }
+  housekeeping_due_ = now + internal::kExitCheckInterval;
   housekeeping_timer_.expires_after(internal::kExitCheckInterval);
   housekeeping_timer_.async_wait(
       [this, earliest, deadline](const boost::system::error_code& /*error*/) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -159,6 +159,7 @@
   void CloseRequest(entry::RequestKey key);
   void ArmTimer();
   void DoHousekeeping();
+  void LogLoopDelay(TimePoint now);
   void CheckConnectionTimeouts(TimePoint now);
   void SendCellLoad(TimePoint now);
   void SendToAudience(std::string_view datagram, entry::Audience audience);
@@ -181,6 +182,9 @@
   boost::asio::steady_timer timer_;
   std::optional<TimePoint> timer_due_;
   boost::asio::steady_timer housekeeping_timer_;
+  std::optional<TimePoint> housekeeping_due_;
+  /// Datagrams of other hosts up to the last housekeeping.
+  std::uint64_t housekeeping_datagrams_{0};
   std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections_;
   std::map<ConnectionKey, entry::RequestKey> request_by_connection_;
   std::map<entry::RequestKey, OpenRequest> open_requests_;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -404,6 +404,7 @@
                          if (error) {
                            break;
                          }
+                         ++received_datagrams_;
                          auto message = DecodePeerMessage({buffer_.data(), count});
                          // A record of another writer may name this host's address.
                          if (message && message->host != host_) {
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -74,6 +74,7 @@
 
   /// @return The error message when the socket can't be opened, else nothing.
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
+  [[nodiscard]] std::uint64_t received_datagrams() const noexcept { return received_datagrams_; }
 
   /// @brief Replaces the peers by the hosts that the store lists; hosts that sent a message since
   /// the
@@ -105,6 +106,7 @@
   /// Hosts that sent a message since the last call of `SetPeers`.
   std::map<std::string, boost::asio::ip::udp::endpoint> recent_senders_;
   std::optional<std::string> failure_;
+  std::uint64_t received_datagrams_{0};
   std::array<char, kMaxDatagramBytes> buffer_{};
 };
 
