--- a/test/process/stop_conditions_test.py
+++ b/test/process/stop_conditions_test.py
@@ -38,6 +38,8 @@
 # Requests of each kind that a daemon serves before its stop, as in steady use.
 EARLIER_REQUESTS = 4
 FIRST_EVENT_S, EVENT_S, LENGTHS = 1.2, 0.05, (2, 10)
+# Longest time for an answer to a readiness check while hosts tell of load without end.
+MAX_CHECK_S = 2.5
 # Fake hosts, and tables that each sends per second.
 PEERS, TABLES_PER_S = 300, 2.0
 SO_ATTACH_FILTER = 26
@@ -231,12 +233,15 @@
             daemon.signal(signal.SIGHUP)
 
 
-async def send_tables(world, daemon, seconds):
-    """Sends the load tables of many hosts to a daemon, as their broadcasts in a large deployment."""
+async def send_tables(world, daemon, seconds, names):
+    """Sends the load tables of many hosts to a daemon, as their broadcasts in a large deployment.
+
+    Tables that name the upstreams of this deployment leave no room there, so requests wait.
+    """
     with open(daemon.path) as file:
         peer_port = json.load(file)["node"]["internal_ports"][0]
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    load = [[f"i-{number}", 1, 400, 100] for number in range(1, 61)]
+    load = [[f"{names}-{number}", 1, 400, 100] for number in range(60)]
     begin = time.monotonic()
     sent = 0
     while (passed := time.monotonic() - begin) < seconds:
@@ -251,6 +256,22 @@
     sock.close()
 
 
+async def check_readiness(world, daemon, seconds):
+    """Checks that a daemon answers readiness checks in time as long as it listens."""
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        begin = time.monotonic()
+        try:
+            reader, writer = await asyncio.open_connection(fakes.ADDRESS, daemon.ready)
+            writer.write(b"GET /ready HTTP/1.1\r\nHost: h\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            writer.close()
+        except (OSError, asyncio.IncompleteReadError):
+            return
+        world.longest_check_s = max(world.longest_check_s, time.monotonic() - begin)
+        await asyncio.sleep(0.1)
+
+
 async def fail_store(world, mode, begin):
     """Makes the store fail from `begin` seconds after the first SIGTERM, or before it."""
     await asyncio.sleep(max(0.0, begin))
@@ -277,7 +298,9 @@
     if condition in ("settings", "settings_signalled"):
         return [change_settings(world, daemon, condition == "settings_signalled")]
     if condition == "peers":
-        return [send_tables(world, daemon, GRACE_S)]
+        return [send_tables(world, daemon, GRACE_S, "other")]
+    if condition == "peers_full":
+        return [send_tables(world, daemon, GRACE_S, "i"), check_readiness(world, daemon, GRACE_S)]
     if condition == "upstream_stalls":
         return [upstream.proxy.stall(world.random, GRACE_S) for upstream in world.upstreams]
     return []
@@ -347,7 +370,7 @@
     world.grace_s, world.timeout_s = GRACE_S, TIME_LIMIT_S
     world.first_event_s, world.event_s, world.call_s = options.first, EVENT_S, 0.12
     world.kill_slack_s, world.tables_per_s = options.kill_slack, options.tables
-    world.stop_times = []
+    world.stop_times, world.longest_check_s = [], 0.0
     exchanges = []
     await world.start(len(conditions))
     if conditions[0].startswith("upstream_"):
@@ -390,6 +413,10 @@
 def judge(world, exchanges):
     """Adds a failure for each request that was taken in a stop and got no whole response."""
     by_condition = {}
+    if world.longest_check_s:
+        print(f"longest readiness check: {world.longest_check_s:.2f} s")
+    if world.longest_check_s > MAX_CHECK_S:
+        world.fail(f"STARVED: a readiness check took {world.longest_check_s:.1f} s")
     for exchange in exchanges:
         counts = by_condition.setdefault(exchange.condition, {})
         is_answered = exchange.outcome in ("complete", "refused")
@@ -402,7 +429,7 @@
     for condition, counts in by_condition.items():
         text = ", ".join(f"{count} {what}" for what, count in sorted(counts.items()))
         print(f"{condition}: {text}")
-        if not counts.get("complete"):
+        if not counts.get("complete") and condition != "peers_full":
             world.fail(f"nothing was served: {condition}")
 
 
@@ -410,7 +437,7 @@
 DEPLOYMENTS = (
     ("caller_delay", "caller_far", "caller_stalls", "caller_loss", "late_exit", "pauses",
      "late_sigterm"),
-    ("settings", "settings_signalled", "settings_before", "peers"),
+    ("settings", "settings_signalled", "settings_before", "peers", "peers_full"),
     ("upstream_delay",) * 2,
     ("upstream_loss",) * 2,
     ("upstream_stalls",) * 2,
