Loop: serve connections and timers between datagrams

What callers saw: nothing for seconds.

Cause: the handler of the peers' socket read until no datagram was left. While they arrive faster than they are handled, the loop never came to connections and timers. A table costs most where requests wait, because each one looks for room for the whole queue.

Ruled out: the rate of tables by itself; 600 and 2,400 tables a second that fill no upstream lost and delayed nothing before either (80 requests each).

Now eight datagrams at most are read per turn, as reads of a connection are bounded. The cost of a table with a long queue remains.

--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -23,6 +23,9 @@
 /// Columns of an upstream's outcomes: id, failures, responses.
 constexpr Json::ArrayIndex kOutcomeRowLength = 3;
 
+/// Most datagrams that are read before the loop serves connections and timers.
+constexpr int kMaxDatagramsPerWakeup = 8;
+
 /// Significant digits of fractions.
 constexpr int kSignificantDigits = 4;
 
@@ -396,7 +399,7 @@
                        if (wait_error) {
                          return;
                        }
-                       while (true) {
+                       for (int reads = 0; reads < internal::kMaxDatagramsPerWakeup; ++reads) {
                          boost::system::error_code error;
                          boost::asio::ip::udp::endpoint from;
                          const std::size_t count =
--- a/test/snipeturn/loop/entry_runtime_peers_test.cc
+++ b/test/snipeturn/loop/entry_runtime_peers_test.cc
@@ -1,3 +1,6 @@
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include "snipeturn/entry/load.h"
 #include "snipeturn/loop/peer_socket.h"
 #include "snipeturn/loop/runtime_fixture.h"
@@ -14,6 +17,33 @@
   CHECK(runtime.state().hosts <= 1);
 }
 
+// Guards against callers, timers and stops that wait while datagrams arrive faster than they are
+// handled.
+TEST_CASE_METHOD(LoopFixture, "datagrams_arriveWithoutEnd_timersRunMeanwhile", "[loop]") {
+  using boost::asio::ip::udp;
+  udp::socket sender(context, {boost::asio::ip::address_v4::loopback(), 0});
+  const std::string datagram =
+      EncodeConfirmationRequest("host-2", entry::RequestConfirmation{"host-1", TimePoint{}});
+  const auto until = std::chrono::steady_clock::now() + 1s;
+  int handled = 0;
+  const std::uint16_t port = RuntimeFixture::FreePort();
+  const udp::endpoint own(boost::asio::ip::address_v4::loopback(), port);
+  PeerSocket peer_socket(context, "host-1", {"127.0.0.1", port}, [&](PeerMessage&& /*message*/) {
+    ++handled;
+    if (std::chrono::steady_clock::now() < until) {
+      sender.send_to(boost::asio::buffer(datagram), own);
+    }
+  });
+  REQUIRE_FALSE(peer_socket.failure());
+  int handled_at_timer = 0;
+  boost::asio::steady_timer timer(context, 50ms);
+  timer.async_wait([&](const boost::system::error_code& /*error*/) { handled_at_timer = handled; });
+  sender.send_to(boost::asio::buffer(datagram), own);
+  RunFor(1200ms);
+  CHECK(handled_at_timer > 0);
+  CHECK(handled > handled_at_timer + 1);
+}
+
 // Guards against tables that no host receives, because updates with long names don't fit into one
 // datagram.
 TEST_CASE_METHOD(RuntimeFixture, "updates_longNames_tableFitsDatagram", "[loop]") {
