Entry: read changed settings at SIGTERM

Cause: the file is checked once a second, and a stop keeps the grace period that is known when it begins.

--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -122,6 +122,8 @@
       if (signal == SIGHUP) {
         Reload();
       } else {
+        // The grace period is the one in force now, also if the last check of the file was earlier.
+        ReloadIfChanged();
         runtime_.Apply(entry::ShutdownRequested{});
       }
       AwaitSignal();
@@ -134,14 +136,18 @@
       if (error || runtime_.is_stopped()) {
         return;
       }
-      const timespec time = ModificationTime(path_);
-      if (time.tv_sec != settings_time_.tv_sec || time.tv_nsec != settings_time_.tv_nsec) {
-        Reload();
-      }
+      ReloadIfChanged();
       WatchSettingsFile();
     });
   }
 
+  void ReloadIfChanged() {
+    const timespec time = ModificationTime(path_);
+    if (time.tv_sec != settings_time_.tv_sec || time.tv_nsec != settings_time_.tv_nsec) {
+      Reload();
+    }
+  }
+
   void Reload() {
     settings_time_ = ModificationTime(path_);
     const auto [settings, faults] = ReadSettings(path_);
