Loop: report a reset that a write meets first

What callers could get: the beginning of a response without a length as if it were complete (rule MIXED), if its server broke the connection off while the request's body was still being written. Found while the ends of slow callers were tested.

Cause: the kernel reports the error of a connection once. The loop writes before it reads; the write met the reset and left it to the read, which then saw an orderly end. peer_resetsWhileBytesWait_endsAsFailed ended as kClosed before and as kFailed now. That the HTTP client takes kClosed for the end of such a response is by reading (http_client.cc, HandleConnectionEnd), not by a run.

Now the error of the write is kept and stands for the orderly end that the read sees, after the bytes that have arrived.

--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -187,6 +187,9 @@
     if (error == boost::asio::error::would_block) {
       break;
     }
+    if (error == boost::asio::error::eof && write_error_) {
+      error = write_error_;
+    }
     if (error) {
       HandleEnd(error == boost::asio::error::eof         ? ConnectionEnd::kClosed
                 : error == boost::asio::error::timed_out ? ConnectionEnd::kTimedOut
@@ -223,7 +226,8 @@
   boost::system::error_code error;
   const std::size_t count = socket_.write_some(boost::asio::buffer(output_), error);
   if (error && error != boost::asio::error::would_block) {
-    // The next read reports the error, unless reading is paused.
+    // The next read ends the connection after the bytes that have come, unless reading is paused.
+    write_error_ = error;
     if (!is_reading_) {
       HandleEnd(ConnectionEnd::kFailed, error.message());
     }
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -85,6 +85,8 @@
   Socket socket_;
   Handlers handlers_;
   std::string output_;
+  /// Error of a write, which the next read doesn't report again.
+  boost::system::error_code write_error_;
   std::uint64_t written_bytes_{0};
   std::uint64_t acknowledged_bytes_{0};
   /// The last acknowledgement of new bytes came in this interval.
--- a/test/snipeturn/loop/connection_test.cc
+++ b/test/snipeturn/loop/connection_test.cc
@@ -122,10 +122,22 @@
   CutPeerOff();
   const TimePoint cut_off = BootTime();
   RunWithChecks(9000ms);
-  CHECK(end);
+  CHECK(end == std::optional(ConnectionEnd::kTimedOut));
   CHECK(BootTime() - cut_off < 7s);
 }
 
+// Guards against a response that is taken for complete though its connection was reset: the error
+// is reported once, and a write that waits may meet it before the read.
+TEST_CASE_METHOD(ConnectionFixture, "peer_resetsWhileBytesWait_endsAsFailed", "[loop]") {
+  connection->Write(std::string(6000000, 'x'));
+  RunFor(100ms);
+  Write(peer, "part of a response");
+  peer.set_option(boost::asio::socket_base::linger(true, 0));
+  peer.close();
+  REQUIRE(RunUntil([this] { return end.has_value(); }));
+  CHECK(*end == ConnectionEnd::kFailed);
+}
+
 // Guards against a longer time limit for peers that are unreachable while they read.
 TEST_CASE_METHOD(ConnectionFixture, "peer_unreachableWhileReading_ends", "[loop_slow_caller]") {
   connection->Write(std::string(200000, 'x'));
