--- a/test/process/stop_conditions_test.py
+++ b/test/process/stop_conditions_test.py
@@ -294,7 +294,7 @@
         return [pause_process(daemon, wait + world.random.uniform(0, 0.3), 0.3)
                 for wait in (1.0, 2.4, 4.0, 5.5, 6.6)]
     if condition == "late_sigterm":
-        return [pause_process(daemon, 0.0, 0.25)]
+        return [pause_process(daemon, 0.0, world.late_s)]
     if condition in ("settings", "settings_signalled"):
         return [change_settings(world, daemon, condition == "settings_signalled")]
     if condition == "peers":
@@ -370,6 +370,7 @@
     world.grace_s, world.timeout_s = GRACE_S, TIME_LIMIT_S
     world.first_event_s, world.event_s, world.call_s = options.first, EVENT_S, 0.12
     world.kill_slack_s, world.tables_per_s = options.kill_slack, options.tables
+    world.late_s = options.late
     world.stop_times, world.longest_check_s = [], 0.0
     exchanges = []
     await world.start(len(conditions))
@@ -472,6 +473,8 @@
                         help="tables per second of each of the fake hosts")
     parser.add_argument("--kill-slack", type=float, default=0.1,
                         help="seconds after the grace period at which a process is killed")
+    parser.add_argument("--late", type=float, default=0.25,
+                        help="seconds by which a process handles SIGTERM late")
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside it")
     options = parser.parse_args()
     program = os.path.join(options.build, "snipeturn_entry")
