Log the store's era and the offsets read across its return

A store that comes back from an older copy gives offsets out again. The log lines so far don't say from which offset a host reads, so they can't tell which of the offsets in use misses records: the follower's, the confirmed one, or those of the upstream list.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -30,6 +30,10 @@
 
 inline constexpr LogEvent kStoreLost{821, "store_lost", LogLevel::kWarning};
 inline constexpr LogEvent kStoreRegained{822, "store_regained", LogLevel::kInfo};
+inline constexpr LogEvent kStoreEraRead{828, "store_era_read", LogLevel::kWarning};
+inline constexpr LogEvent kTopicEraChanged{829, "topic_era_changed", LogLevel::kWarning};
+inline constexpr LogEvent kSnapshotRead{830, "snapshot_read", LogLevel::kInfo};
+inline constexpr LogEvent kConfigurationRecord{839, "configuration_record", LogLevel::kInfo};
 
 inline constexpr LogEvent kQueued{831, "queued", LogLevel::kInfo};
 inline constexpr LogEvent kSent{832, "sent", LogLevel::kInfo};
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -1,6 +1,13 @@
 #include "platform/store_client.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "snipeturn/loop/http_client.h"
+#include "snipeturn/loop/http_head.h"
+#include "snipeturn/loop/loop_fixture.h"
 
 namespace snipeturn::platform {
 namespace {
@@ -76,5 +83,78 @@
   }
 }
 
+/// Heads of a response with the given values of `Store-Era`.
+loop::HttpHead MakeEraHead(const std::vector<std::string>& values) {
+  loop::HttpHead head;
+  for (const std::string& value : values) {
+    head.fields.push_back({"store-era", value});
+  }
+  return head;
+}
+
+TEST_CASE("storeEra_wholeNumber_read", "[platform]") {
+  CHECK(ParseStoreEra(MakeEraHead({"0"})) == 0);
+  CHECK(ParseStoreEra(MakeEraHead({"18446744073709551615"})) == 18446744073709551615U);
+  CHECK(ParseStoreEra(MakeEraHead({"7", "7"})) == 7);
+}
+
+// Guards against a return of the store that is taken from a field that states none.
+TEST_CASE("storeEra_absentOrUnreadable_none", "[platform]") {
+  CHECK_FALSE(ParseStoreEra(MakeEraHead({})));
+  for (const std::string value :
+       {"", "-1", "+1", "1.0", "1e3", "0x1", "1 2", "one", "18446744073709551616"}) {
+    CHECK_FALSE(ParseStoreEra(MakeEraHead({value})));
+  }
+  CHECK_FALSE(ParseStoreEra(MakeEraHead({"7", "8"})));
+  CHECK_FALSE(ParseStoreEra(MakeEraHead({"7", "x"})));
+}
+
+/// A client of the store; the test acts as the store.
+class StoreClientFixture : public loop::LoopFixture {
+ public:
+  StoreClientFixture() : http(context), client(http, endpoint()) {
+    client.SetEraCallback([this](const StoreEraChange& change) {
+      changes.push_back(std::to_string(change.before) + ">" + std::to_string(change.era) + " " +
+                        std::string(change.call) + " " + change.topic + " " +
+                        std::to_string(change.status));
+    });
+  }
+
+  /// Receives the next call and responds to it with an era.
+  void Respond(const std::string& status, const std::string& era) {
+    if (!connection) {
+      connection.emplace(Accept());
+    }
+    ReadUntil(*connection, "\r\n\r\n");
+    Write(*connection,
+          "HTTP/1.1 " + status + "\r\nStore-Era: " + era + "\r\nContent-Length: 2\r\n\r\n{}");
+  }
+
+  void Append(const std::string& status, const std::string& era) {
+    bool is_done = false;
+    client.Append("keyed.t", "k", "v", [&is_done](StoreStatus /*status*/) { is_done = true; });
+    Respond(status, era);
+    REQUIRE(RunUntil([&is_done] { return is_done; }));
+  }
+
+  std::vector<std::string> changes;
+  loop::HttpClient http;
+  StoreClient client;
+  std::optional<boost::asio::ip::tcp::socket> connection;
+};
+
+// Guards against a return of the store that only responses to good reads tell.
+TEST_CASE_METHOD(StoreClientFixture, "append_anyStatus_eraReported", "[platform]") {
+  Append("200 OK", "1");
+  Append("200 OK", "1");
+  CHECK(changes.empty());
+  Append("503 Service Unavailable", "2");
+  Append("429 Too Many Requests", "3");
+  Append("412 Precondition Failed", "4");
+  CHECK(changes == std::vector<std::string>{"1>2 log-append keyed.t 503",
+                                            "2>3 log-append keyed.t 429",
+                                            "3>4 log-append keyed.t 412"});
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -28,16 +28,22 @@
              },
              [this](const KeyedRecord& record) { keys += record.key; },
              [this](TimePoint /*began*/, std::uint64_t /*end*/) { ++confirmed_reads; },
-             [this](const std::string& /*reason*/) { ++failed_reads; }}) {
+             [this](const std::string& /*reason*/) { ++failed_reads; },
+             [this](const LogEvent& event, const std::string& fields) {
+               lines.push_back(std::string(event.name) + " " + fields);
+             }}) {
     follower.Start();
     connection.emplace(Accept());
   }
 
   /// Receives the next call and responds to it; returns method and path of the call.
-  std::string RespondToNextCall(const std::string& body, const std::string& status = "200 OK") {
+  /// @param fields Further header fields, each ended by CR LF.
+  std::string RespondToNextCall(const std::string& body,
+                                const std::string& status = "200 OK",
+                                const std::string& fields = "") {
     const std::string call = ReadUntil(*connection, "\r\n\r\n");
-    Write(*connection, "HTTP/1.1 " + status + "\r\nContent-Length: " + std::to_string(body.size()) +
-                           "\r\n\r\n" + body);
+    Write(*connection, "HTTP/1.1 " + status + "\r\n" + fields +
+                           "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     return call.substr(0, call.find(" HTTP"));
   }
 
@@ -57,6 +63,7 @@
   std::string keys;
   int confirmed_reads{0};
   int failed_reads{0};
+  std::vector<std::string> lines;
   loop::HttpClient client;
   StoreClient store;
   TopicFollower follower;
@@ -168,5 +175,40 @@
   CHECK(confirmed_reads == 3);
 }
 
+// Guards against records of a store that came back that are missed without a trace: the log says
+// from where the topic would have been read on.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_eraChanged_logged", "[platform]") {
+  interval = 0ms;
+  RespondToNextCall(MakePage("", false), "200 OK", "Store-Era: 1\r\n");
+  RespondToNextCall(MakeLog(4, ""), "200 OK", "Store-Era: 1\r\n");
+  RespondToNextCall(MakeLog(3, ""), "200 OK", "Store-Era: 2\r\n");
+  REQUIRE(RunUntil([this] { return !lines.empty(); }));
+  CHECK(lines.front() ==
+        "topic_era_changed topic=keyed.op era=2 before=1 next_offset=4 status=ok end=3");
+}
+
+// Guards against an era that is read from good responses only.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_expiredInNewEra_eraAndSnapshotLogged", "[platform]") {
+  interval = 0ms;
+  RespondToNextCall(MakePage("", false), "200 OK", "Store-Era: 1\r\n");
+  RespondToNextCall(R"({"first":0})", "410 Gone", "Store-Era: 3\r\n");
+  RespondToNextCall(R"({"items":[],"has_more":false,"end":2})", "200 OK", "Store-Era: 3\r\n");
+  REQUIRE(RunUntil([this] { return lines.size() == 2; }));
+  CHECK(lines[0] ==
+        "topic_era_changed topic=keyed.op era=3 before=1 next_offset=4 status=expired end=-1");
+  CHECK(lines[1] == "snapshot_read topic=keyed.op cause=expired end=2 before=4 era=3");
+}
+
+// Guards against lines without bound from a store that states no era.
+TEST_CASE_METHOD(TopicFollowerFixture, "log_eraAbsentOrUnreadable_notLogged", "[platform]") {
+  interval = 0ms;
+  RespondToNextCall(MakePage("", false), "200 OK", "Store-Era: 1\r\n");
+  for (const std::string fields : {"", "Store-Era: x\r\n", "Store-Era: 1\r\n"}) {
+    RespondToNextCall(MakeLog(4, ""), "200 OK", fields);
+  }
+  REQUIRE(RunUntil([this] { return confirmed_reads == 4; }));
+  CHECK(lines.empty());
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
