Soak: the stand-in store returns from a copy some seconds old

After restore() records and offsets are those of the copy, offsets are given out again, reads beyond the end get 410 and Store-Era, in all responses, is one higher (the header may also be absent or unreadable). Long polls of before the return go on in the new log, end, hang or are cut, as chosen. lost() tells what the operator and the servers must write again. The pages and the 410 for reads beyond the end move from the store of odd_entries_test into the common one. Each daemon has its own link to the store, so that one can be cut alone.

--- a/test/process/odd_entries_test.py
+++ b/test/process/odd_entries_test.py
@@ -6,16 +6,13 @@
 
 import argparse
 import asyncio
-import base64
 import json
 import os
 import random
 import shutil
 import signal
-import struct
 import sys
 import tempfile
-import urllib.parse
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "soak"))
 import fakes  # noqa: E402
@@ -30,12 +27,14 @@
 
 
 class PagedStore(fakes.Store):
-    """The store with pages in the order of the keys, which may be any bytes.
+    """The store with short pages and keys of any bytes.
 
     A key that is no UTF-8 is shown in a page with replacement characters. `raw` holds, by offset,
     records without a valid key.
     """
 
+    page_items = PAGE_ITEMS
+
     def __init__(self):
         super().__init__()
         self.raw = {}
@@ -46,45 +45,22 @@
         await self.put("keyed.servers", b"", b"")
 
     async def handle(self, method, target, body):
-        path, _, query = target.partition("?")
         if any(character <= " " for character in target):
             self.malformed_calls.append(target)
-        arguments = urllib.parse.parse_qs(query, keep_blank_values=True, encoding="latin-1")
-        topic = arguments.get("topic", [""])[0]
-        if topic != "keyed.servers" or path == "/api/log-append":
-            return await super().handle(method, target, body)
-        if path == "/api/log-newest":
-            return self.newest(arguments.get("after"))
-        start = int(arguments["from"][0])
-        records = self.records[topic]
-        if len(records) <= start:
-            async with self.changed:
-                try:
-                    await asyncio.wait_for(self.changed.wait_for(lambda: len(records) > start),
-                                           int(arguments["wait_ms"][0]) / 1000)
-                except asyncio.TimeoutError:
-                    pass
-        if start < self.first_offset.get(topic, 0):
-            return fakes.response(410, b"{}")
-        data = struct.pack(">QQ", len(records), self.first_offset.get(topic, 0))
-        for offset in range(start, len(records)):
-            key, value = records[offset]
-            content = self.raw.get(offset, bytes([len(key)]) + as_bytes(key) + value)
-            data += struct.pack(">I", len(content)) + content
-        return fakes.response(200, data)
-
-    def newest(self, after):
-        newest = {}
-        for offset, (key, value) in enumerate(self.records["keyed.servers"]):
-            if offset not in self.raw:
-                newest[as_bytes(key)] = (value, offset)
-        keys = sorted(key for key, (value, _) in newest.items()
-                      if value and (after is None or key > after[0].encode("latin-1")))
-        items = [{"key": key.decode(errors="replace"), "offset": newest[key][1],
-                  "value": base64.b64encode(newest[key][0]).decode()} for key in keys[:PAGE_ITEMS]]
-        return fakes.response(200, json.dumps(
-            {"items": items, "has_more": len(keys) > PAGE_ITEMS,
-             "end": len(self.records["keyed.servers"])}).encode())
+        return await super().handle(method, target, body)
+
+    async def restore(self, copy):
+        end = len(copy[0].get("keyed.servers", ()))
+        self.raw = {offset: content for offset, content in self.raw.items() if offset < end}
+        return await super().restore(copy)
+
+    def has_key(self, topic, offset):
+        return topic != "keyed.servers" or offset not in self.raw
+
+    def content(self, topic, offset):
+        if not self.has_key(topic, offset):
+            return self.raw[offset]
+        return super().content(topic, offset)
 
 
 class OddWorld(soak.World):
@@ -103,12 +79,8 @@
             await writer.drain()
 
 
-def as_bytes(key):
-    return key if isinstance(key, bytes) else key.encode()
-
-
 def is_graphic(key):
-    return 0 < len(key) and all(0x21 <= byte <= 0x7e for byte in as_bytes(key))
+    return 0 < len(key) and all(0x21 <= byte <= 0x7e for byte in fakes.as_bytes(key))
 
 
 def make_entry(trap, **changes):
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -5,6 +5,7 @@
 import json
 import struct
 import time
+import urllib.parse
 
 ADDRESS = "127.0.0.1"
 # A daemon that continues after SIGSTOP catches up on missed records within this time.
@@ -64,20 +65,46 @@
 
 
 class Store(Server):
-    """The platform's log with keyed topics; `mode` selects a fault, "up" is none."""
+    """The platform's log with keyed topics; `mode` selects a fault, "up" is none.
+
+    `leave` and `restore` let it come back from a copy: offsets go back and are given out again.
+    """
+
+    # Topics that only the operator and the servers write.
+    FOREIGN_TOPICS = ("keyed.op", "keyed.servers")
+    page_items = 500
 
     def __init__(self):
         self.records = {}
         self.first_offset = {}
         self.mode = "up"
         self.changed = asyncio.Condition()
+        # The header Store-Era, and how it is stated: "number", "absent" or "unreadable".
+        self.era, self.era_form = 7, "number"
+        # While it is away, calls meet `mode` and the operator's writes wait.
+        self.is_away, self.returned_at = False, 0.0
+        # What long polls of before a return meet after it: "wait" (they go on in the new log),
+        # "answer", "hang" or "cut".
+        self.polls = "wait"
+        # Delays of appends and of pages after the first, during which the store may return.
+        self.append_delay_s = self.page_delay_s = 0.0
+        # What the operator and the servers have written last, by topic and key.
+        self.written = {}
+
+    def answer(self, status, body=b""):
+        form = {"number": str(self.era), "unreadable": f"era {self.era}"}.get(self.era_form)
+        return response(status, body, [("Store-Era", form)] if form else ())
 
     def now(self, topic):
         return len(self.records.setdefault(topic, []))
 
     async def put(self, topic, key, value):
-        self.records.setdefault(topic, []).append((key, value))
+        """Appends a record; its return is the acknowledgement."""
+        if topic in self.FOREIGN_TOPICS:
+            self.written[topic, key] = value
         async with self.changed:
+            await self.changed.wait_for(lambda: not self.is_away)
+            self.records.setdefault(topic, []).append((key, value))
             self.changed.notify_all()
 
     def discard_history(self):
@@ -85,6 +112,35 @@
         for topic, records in self.records.items():
             self.first_offset[topic] = len(records)
 
+    def copy(self):
+        return {topic: list(records) for topic, records in self.records.items()}, dict(
+            self.first_offset)
+
+    def leave(self, mode, polls="wait"):
+        """Begins an absence that `restore` ends."""
+        self.is_away, self.mode, self.polls = True, mode, polls
+        if polls == "cut":
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def restore(self, copy):
+        """Ends an absence with the records of a copy, and returns what `lost` tells."""
+        records, first_offset = copy
+        self.records = {topic: list(records.get(topic, ())) for topic in self.records}
+        self.first_offset = dict(first_offset)
+        self.era += 1
+        self.is_away, self.mode, self.returned_at = False, "up", time.monotonic()
+        async with self.changed:
+            self.changed.notify_all()
+        return self.lost()
+
+    def lost(self):
+        """Returns topic, key and value of what the operator and the servers must write again."""
+        newest = {(topic, key): value for topic in self.FOREIGN_TOPICS
+                  for key, value in self.records.get(topic, ())}
+        return [(topic, key, value) for (topic, key), value in self.written.items()
+                if newest.get((topic, key), b"") != value]
+
     async def serve(self, reader, writer):
         while (head := await read_head(reader)) is not None:
             method, target, fields = head
@@ -98,49 +154,93 @@
             if self.mode == "slow":
                 await asyncio.sleep(0.3)
             if self.mode == "busy":
-                writer.write(response(503))
+                writer.write(self.answer(503))
             else:
                 writer.write(await self.handle(method, target, body))
             await writer.drain()
 
     async def handle(self, method, target, body):
         path, _, query = target.partition("?")
-        arguments = dict(part.split("=", 1) for part in query.split("&") if "=" in part)
+        arguments = {name: values[0] for name, values in urllib.parse.parse_qs(
+            query, keep_blank_values=True, encoding="latin-1").items()}
         topic = arguments.get("topic", "")
-        records = self.records.setdefault(topic, [])
+        self.records.setdefault(topic, [])
         if path == "/api/log-append":
-            length = struct.unpack(">I", body[:4])[0]
-            content = body[4:4 + length]
-            key = content[1:1 + content[0]].decode()
-            await self.put(topic, key, content[1 + content[0]:])
-            return response(200, json.dumps(
-                {"offset": len(records) - 1, "end": len(records)}).encode())
+            return await self.append(topic, arguments, body)
         if path == "/api/log-newest":
-            newest = {}
-            for offset, (key, value) in enumerate(records):
-                newest[key] = (value, offset)
-            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
-                     for key, (value, offset) in newest.items() if value]
-            return response(200, json.dumps(
-                {"items": items, "has_more": False, "end": len(records)}).encode())
+            return await self.read_newest(topic, arguments.get("after"))
         if path == "/api/log-read":
-            start = int(arguments["from"])
-            if start < self.first_offset.get(topic, 0):
-                return response(410, json.dumps({"first": self.first_offset[topic]}).encode())
-            if len(records) <= start and int(arguments.get("wait_ms", 0)) > 0:
-                try:
-                    async with self.changed:
-                        await asyncio.wait_for(
-                            self.changed.wait_for(lambda: len(records) > start),
-                            int(arguments["wait_ms"]) / 1000)
-                except asyncio.TimeoutError:
-                    pass
-            data = struct.pack(">QQ", len(records), self.first_offset.get(topic, 0))
-            for key, value in records[start:]:
-                content = bytes([len(key)]) + key.encode() + value
-                data += struct.pack(">I", len(content)) + content
-            return response(200, data)
-        return response(404)
+            return await self.read(topic, int(arguments["from"]),
+                                   int(arguments.get("wait_ms", 0)))
+        return self.answer(404)
+
+    async def append(self, topic, arguments, body):
+        await asyncio.sleep(self.append_delay_s)
+        if topic in self.FOREIGN_TOPICS:
+            return self.answer(403)
+        if int(arguments.get("at", self.now(topic))) != self.now(topic):
+            return self.answer(412, json.dumps({"end": self.now(topic)}).encode())
+        length = struct.unpack(">I", body[:4])[0]
+        content = body[4:4 + length]
+        key = content[1:1 + content[0]].decode()
+        await self.put(topic, key, content[1 + content[0]:])
+        end = self.now(topic)
+        return self.answer(200, json.dumps({"offset": end - 1, "end": end}).encode())
+
+    async def read_newest(self, topic, after):
+        if after is not None:
+            await asyncio.sleep(self.page_delay_s)
+        newest = {}
+        for offset, (key, value) in enumerate(self.records[topic]):
+            if self.has_key(topic, offset):
+                newest[as_bytes(key)] = (value, offset)
+        keys = sorted(key for key, (value, _) in newest.items()
+                      if value and (after is None or key > after.encode("latin-1")))
+        items = [{"key": key.decode(errors="replace"), "offset": newest[key][1],
+                  "value": base64.b64encode(newest[key][0]).decode()}
+                 for key in keys[:self.page_items]]
+        return self.answer(200, json.dumps({"items": items, "end": self.now(topic),
+                                            "has_more": len(keys) > self.page_items}).encode())
+
+    async def read(self, topic, start, wait_ms):
+        if self.now(topic) == start and wait_ms > 0:
+            await self.await_records(topic, start, wait_ms)
+        first = self.first_offset.get(topic, 0)
+        if not first <= start <= self.now(topic):
+            return self.answer(410, json.dumps({"first": first}).encode())
+        data = struct.pack(">QQ", self.now(topic), first)
+        for offset in range(start, self.now(topic)):
+            content = self.content(topic, offset)
+            data += struct.pack(">I", len(content)) + content
+        return self.answer(200, data)
+
+    async def await_records(self, topic, start, wait_ms):
+        """Waits until the log has a record at `start`, or the time is over."""
+        era = self.era
+
+        def is_due():
+            has_returned = self.polls == "answer" and self.era != era
+            return not self.is_away and (has_returned or self.now(topic) > start)
+
+        try:
+            async with self.changed:
+                await asyncio.wait_for(self.changed.wait_for(is_due), wait_ms / 1000)
+        except asyncio.TimeoutError:
+            async with self.changed:
+                await self.changed.wait_for(lambda: not self.is_away)
+        if self.polls == "hang" and self.era != era:
+            await asyncio.sleep(30)
+
+    def has_key(self, topic, offset):
+        return True
+
+    def content(self, topic, offset):
+        key, value = self.records[topic][offset]
+        return bytes([len(as_bytes(key))]) + as_bytes(key) + value
+
+
+def as_bytes(key):
+    return key if isinstance(key, bytes) else key.encode()
 
 
 class Upstream(Server):
@@ -151,6 +251,7 @@
 
     def __init__(self, world, name, service, is_engine):
         self.world, self.name, self.service, self.is_engine = world, name, service, is_engine
+        self.zone = "z"
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
         self.leaving = False
@@ -187,7 +288,7 @@
     def entry(self):
         self.sequence += 1
         return json.dumps({
-            "service": self.service, "address": f"{ADDRESS}:{self.proxy.port}", "zone": "z",
+            "service": self.service, "address": f"{ADDRESS}:{self.proxy.port}", "zone": self.zone,
             "version": "v1", "slots": 24 if self.is_engine else 6, "born": self.started_ms,
             "state": "draining" if self.leaving and self.tells_store else "ready", "cold_left_ms": 0,
             "sequence": self.sequence}).encode()
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -55,8 +55,10 @@
 class Daemon:
     """A snipeturn_entry process with its own ports and settings file."""
 
-    def __init__(self, world, name):
+    def __init__(self, world, name, store_link):
         self.world, self.name, self.process = world, name, None
+        # Its own link to the store.
+        self.store_link = store_link
         self.front, self.ready = free_port(), free_port()
         self.stopping = False
         # A fault task is restarting it; another one must not start a second process meanwhile.
@@ -72,9 +74,9 @@
                 "node_name": name, "zone": "z", "ip": ADDRESS,
                 "internal_ports": [free_port(socket.SOCK_DGRAM)],
                 "listen": {"front": f"{ADDRESS}:{self.front}", "ready": f"{ADDRESS}:{self.ready}"},
-                "bounds": {"revoke_ms": int(REVOKE_S * 1000), "grace_s": world.grace_s, "fail_closed": True,
+                "bounds": {"revoke_ms": int(world.revoke_s * 1000), "grace_s": world.grace_s, "fail_closed": True,
                            "drain_ms": int(world.drain_s * 1000), "budget_slack": 50},
-                "platform": {"address": f"{ADDRESS}:{world.store_proxy.port}"}}}, file)
+                "platform": {"address": f"{ADDRESS}:{store_link.port}"}}}, file)
 
     async def start(self):
         self.stopping = False
@@ -127,7 +129,9 @@
     """The simulated platform, the daemons, and the observations that the checks use."""
 
     store_type = Store
+    plain_services = ("plain",)
     drain_s = 1.0
+    revoke_s = REVOKE_S
     # Time that a plain service takes for a request.
     call_s = 0.02
     # Time that an engine takes until the first event of a stream, and between events, unless the
@@ -150,6 +154,12 @@
         self.speed_random = random.Random(f"speeds of {seed}")
         self.speeds = self.speed_random.choices(ENGINE_SPEEDS, k=2)
         self.version, self.keys, self.revoked_at = 0, set(KEYS), {}
+        # Path prefixes of further routes and their services.
+        self.added_routes = {}
+        self.store = None
+        # Whether the operator and the servers write to the store: not while it is away and until
+        # they write again what it has lost.
+        self.has_rewritten = True
         self.upstreams, self.next_upstream, self.next_request = [], 0, 0
 
     def fail(self, text):
@@ -172,26 +182,31 @@
     async def configure(self):
         """Publishes a new version of the routes, services and tenants."""
         self.version += self.random.randint(1, 3)
-        routes = [("stream", "/s/", "engines", 1), ("unsafe", "/u/", "plain", 1),
-                  ("safe", "/r/", "plain", 2)]
+        routes = [("stream", "stream", "/s/", "engines", 1), ("unsafe", "unsafe", "/u/", "plain", 1),
+                  ("safe", "safe", "/r/", "plain", 2)]
+        routes += [(prefix.strip("/"), "unsafe", prefix, service, 1)
+                   for prefix, service in self.added_routes.items()]
         desired = {"version": self.version, "routes": [
-            {"name": kind, "host": "soak.example", "path_prefix": prefix, "kind": kind,
-             "timeout_ms": int(self.timeout_s * 1000), "latency_target_ms": 500, "service": service,
-             "max_attempts": attempts} for kind, prefix, service, attempts in routes],
+            {"name": name, "host": "soak.example", "path_prefix": prefix,
+             "kind": kind, "timeout_ms": int(self.timeout_s * 1000), "latency_target_ms": 500,
+             "service": service, "max_attempts": attempts}
+            for name, kind, prefix, service, attempts in routes],
             "services": [{"name": "engines", "engine": {
                 "slots": 24, "kv_cache_tokens": 40000, "moves": True, "stride": 4}},
-                {"name": "plain"}],
+                *({"name": name} for name in self.plain_services)],
             "tenants": [{"name": f"org-{key}", "api_keys": [key]} for key in sorted(self.keys)]}
         await self.store.put("keyed.op", "config", json.dumps(desired).encode())
 
-    async def add_upstream(self, is_engine):
+    async def add_upstream(self, is_engine, service="plain", zone="z"):
         self.next_upstream += 1
-        upstream = Upstream(self, f"i-{self.next_upstream}", "engines" if is_engine else "plain",
+        upstream = Upstream(self, f"i-{self.next_upstream}", "engines" if is_engine else service,
                             is_engine)
+        upstream.zone = zone
         await upstream.start()
         upstream.proxy = await Proxy(upstream.port).start()
         self.upstreams.append(upstream)
         await self.store.put("keyed.servers", upstream.name, upstream.entry())
+        return upstream
 
     async def remove_upstream(self, upstream, crash):
         """Removes an upstream, after a termination notice and a drain period unless it crashes."""
@@ -215,16 +230,23 @@
         """Publishes the entries of all upstreams periodically."""
         while True:
             await asyncio.sleep(0.4)
-            for upstream in list(self.upstreams):
+            for upstream in list(self.upstreams if self.has_rewritten else ()):
                 await self.store.put("keyed.servers", upstream.name, upstream.entry())
 
+    async def rewrite(self):
+        """Writes again what the operator and the servers had written and the store has lost."""
+        self.has_rewritten = True
+        for topic, key, value in self.store.lost():
+            await self.store.put(topic, key, value)
+
     async def start(self, daemons):
-        self.store = await self.store_type().start()
+        self.store = self.store or await self.store_type().start()
         self.store_proxy = await Proxy(self.store.port).start()
         await self.configure()
         for is_engine in (True, True, True, False, False):
             await self.add_upstream(is_engine)
-        self.daemons = [Daemon(self, f"host-{number}") for number in range(daemons)]
+        self.daemons = [Daemon(self, f"host-{number}", await Proxy(self.store_proxy.port).start())
+                        for number in range(daemons)]
         for daemon in self.daemons:
             await daemon.start()
 
@@ -291,7 +313,7 @@
     if kind == "stream" and status >= 500 and status != 503:
         record_unanswered(world, call)
     revoked = world.revoked_at.get(key)
-    if status == 200 and revoked and call.sent_at > revoked + REVOKE_S + 0.3:
+    if status == 200 and revoked and call.sent_at > revoked + world.revoke_s + 0.3:
         world.fail(f"CONFIG: {request} served with a key that was revoked "
                    f"{call.sent_at - revoked:.1f} s before")
     if fields.get("connection") == "close":
