Soak: daemons' ports lie outside of those of outgoing connections

The system gives a port that was free a moment ago to any connection or process. Ports now lie below that range, in a block by process id; a port that is bound is passed over.

--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -38,18 +38,28 @@
     "113": "DENIED: one port was given out twice, so callers met another daemon's readiness port",
     "141": "the soak ended with an error: both series of faults removed one upstream",
 }
-# Ports already assigned; the system may offer one again before its daemon has bound it.
+# Ports below those that the system gives to outgoing connections. Each process begins with others:
+# soaks that run beside each other would otherwise take a port from each other's daemons.
+PORTS = range(10000, 32000)
+PORTS_OF_PROCESS = 100
+# Ports already assigned; another daemon may not have bound its port yet.
 ASSIGNED_PORTS = set()
 
 
 def free_port(kind=socket.SOCK_STREAM):
-    while True:
+    first = os.getpid() * PORTS_OF_PROCESS
+    for place in range(len(PORTS)):
+        port = PORTS[(first + place) % len(PORTS)]
+        if port in ASSIGNED_PORTS:
+            continue
         with socket.socket(socket.AF_INET, kind) as probe:
-            probe.bind((ADDRESS, 0))
-            port = probe.getsockname()[1]
-        if port not in ASSIGNED_PORTS:
-            ASSIGNED_PORTS.add(port)
-            return port
+            try:
+                probe.bind((ADDRESS, port))
+            except OSError:
+                continue
+        ASSIGNED_PORTS.add(port)
+        return port
+    raise RuntimeError("no free port")
 
 
 class Daemon:
