Give an offset of the store its era in one type

StorePosition replaces the bare offset in events, in what hosts tell each other and in the state of the entry path. The era is 0 throughout, so nothing changes in behaviour. Datagrams carry the era of the configuration and those of the list updates in fields of their own, which hosts of an earlier version skip.

--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -54,7 +54,7 @@
     return;
   }
   scope.effects.push_back(
-      SendConfirmation{event.host, event.requested_at, store.offset,
+      SendConfirmation{event.host, event.requested_at, store.position,
                        std::chrono::ceil<std::chrono::milliseconds>(scope.now - *store.confirmed)});
 }
 
@@ -64,7 +64,7 @@
   if (!store.requested_at || *store.requested_at != event.requested_at) {
     return;
   }
-  if (event.offset > store.offset) {
+  if (event.position > store.position) {
     if (store.is_reachable) {
       scope.effects.push_back(ReadConfiguration{});
     }
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -132,7 +132,7 @@
   std::string host;
   /// Time of the request by the requesting host's clock.
   TimePoint requested_at{};
-  std::uint64_t offset{0};
+  StorePosition position{};
   /// Age of this host's last read, counted from its start.
   std::chrono::milliseconds age{0};
 };
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -14,6 +14,7 @@
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/options.h"
+#include "snipeturn/entry/store_position.h"
 #include "snipeturn/entry/upstream.h"
 #include "snipeturn/quarantine/fwd.h"
 
@@ -149,14 +150,14 @@
 
 struct UpstreamListed {
   UpstreamEntry entry;
-  /// Offset of the record in the list's log; orders updates from the store and from peers.
-  std::uint64_t offset{0};
+  /// Position of the record in the list's log; orders updates from the store and from peers.
+  StorePosition position{};
   UpdateSource source{UpdateSource::kStore};
 };
 
 struct UpstreamUnlisted {
   UpstreamId id;
-  std::uint64_t offset{0};
+  StorePosition position{};
   UpdateSource source{UpdateSource::kStore};
   /// The entry may have expired in an outage of the store instead of having been removed. A peer
   /// that reads the store without failures rules that out.
@@ -180,16 +181,16 @@
 /// The newest record of each upstream in the list, read after records were missed.
 struct UpstreamListRead {
   std::vector<UpstreamListed> entries;
-  /// Offset after the last record that the read covers.
-  std::uint64_t end{0};
+  /// Position after the last record that the read covers.
+  StorePosition end{};
 };
 
 /// A read of the configuration that missed no record.
 struct StoreConfirmed {
   /// When the read began; the configuration was the newest then or later.
   TimePoint began{};
-  /// Offset after the last record that was read.
-  std::uint64_t offset{0};
+  /// Position after the last record that was read.
+  StorePosition position{};
 };
 
 /// A read of the store failed.
@@ -238,8 +239,8 @@
   std::uint64_t last_update{0};
   /// The host's recent updates; each is sent several times, as datagrams get lost.
   std::vector<PeerUpdate> recent_updates;
-  /// Offset up to which the host has read the configuration.
-  std::uint64_t configuration_offset{0};
+  /// Position up to which the host has read the configuration.
+  StorePosition configuration_position{};
   /// Time since its last read of the configuration ended. Set only by a host that waits at the
   /// store for changes, and thus would have broadcast one.
   std::optional<std::chrono::milliseconds> configuration_age;
@@ -286,8 +287,8 @@
 struct ConfirmationReceived {
   /// When this host sent the request.
   TimePoint requested_at{};
-  /// Offset that the other host's last read had reached when it ended.
-  std::uint64_t offset{0};
+  /// Position that the other host's last read had reached when it ended.
+  StorePosition position{};
   /// Time from the start of that read to the reply.
   std::chrono::milliseconds age{0};
 };
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -46,7 +46,7 @@
       table.recent_updates.push_back(recent.update);
     }
   }
-  table.configuration_offset = state.store.offset;
+  table.configuration_position = state.store.position;
   if (state.store.confirmed && IsConfigurationReader(state, now)) {
     table.configuration_age = ToMilliseconds(now - state.store.read_at);
   }
--- a/src/snipeturn/entry/load_broadcast.cc
+++ b/src/snipeturn/entry/load_broadcast.cc
@@ -59,7 +59,7 @@
   const bool is_reader =
       !state.peers.empty() && (IsListReader(state, now) || IsConfigurationReader(state, now));
   const bool has_updates =
-      broadcast.last_update != state.last_update || broadcast.configuration != state.store.offset;
+      broadcast.last_update != state.last_update || broadcast.configuration != state.store.position;
   const bool has_changed = broadcast.changes != state.load_changes;
   const bool has_decreased = broadcast.decreases != state.load_decreases;
   const auto since = now - broadcast.broadcast_at;
@@ -83,7 +83,7 @@
   broadcast.changes = state.load_changes;
   broadcast.decreases = state.load_decreases;
   broadcast.last_update = state.last_update;
-  broadcast.configuration = state.store.offset;
+  broadcast.configuration = state.store.position;
   broadcast.broadcast_at = now;
   if (is_due_for_all || (is_reader && has_updates)) {
     broadcast.broadcast_to_all_at = now;
--- a/src/snipeturn/entry/load_broadcast.h
+++ b/src/snipeturn/entry/load_broadcast.h
@@ -16,8 +16,8 @@
   std::uint64_t changes{0};
   std::uint64_t last_update{0};
   std::uint64_t decreases{0};
-  /// Offset up to which the configuration had been read.
-  std::uint64_t configuration{0};
+  /// Position up to which the configuration had been read.
+  StorePosition configuration{};
   TimePoint broadcast_at{};
   TimePoint broadcast_to_all_at{};
   /// Number of tables of changes that may be sent at once, as of `allowance_at`.
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -122,7 +122,7 @@
   }
   // While the store is unreachable for this host it is read again as soon as a peer reaches it
   // again, otherwise after the backoff that follows a failed read.
-  if (state.store.is_reachable ? event.configuration_offset > state.store.offset : is_store_back) {
+  if (state.store.is_reachable ? event.configuration_position > state.store.position : is_store_back) {
     scope.effects.push_back(ReadConfiguration{});
   }
   const bool is_for_cell = HasCells(state) && !event.cell.empty() && event.cell != state.cell;
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -30,8 +30,8 @@
   std::optional<TimePoint> requested_at;
   /// End of the last read by this host.
   TimePoint read_at{};
-  /// Offset up to which the configuration has been read.
-  std::uint64_t offset{0};
+  /// Position up to which the configuration has been read.
+  StorePosition position{};
   /// Time of the last failed read.
   std::optional<TimePoint> failed;
   bool is_reachable{false};
@@ -128,8 +128,8 @@
   std::deque<RecentUpdate> recent_updates;
   /// Start of the last read of the upstream list.
   std::optional<TimePoint> list_confirmed;
-  /// Offset of the newest known record of each upstream, including removed ones.
-  std::map<UpstreamId, std::uint64_t> list_offsets;
+  /// Position of the newest known record of each upstream, including removed ones.
+  std::map<UpstreamId, StorePosition> list_positions;
   std::map<std::string, PeerLoad> peers;
   /// This host's cell; empty in a small deployment, in which all hosts broadcast to one another.
   std::string cell;
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -38,9 +38,9 @@
 /// Time between two reads of an engine's report: an engine that is being reclaimed has about two
 /// seconds left.
 constexpr std::chrono::milliseconds kReportInterval{300};
-/// Offsets of removed upstreams are kept, so that a late message about one doesn't add it again.
-/// They are dropped when the table of offsets exceeds this size.
-constexpr std::size_t kMaxOffsets = 4096;
+/// Positions of removed upstreams are kept, so that a late message about one doesn't add it again.
+/// They are dropped when the table of positions exceeds this size.
+constexpr std::size_t kMaxPositions = 4096;
 
 bool IsStoreOutage(const EventScope& scope) {
   const StoreView& store = scope.state.store;
@@ -101,20 +101,20 @@
   state.recent_updates.push_back({scope.now, {++state.last_update, std::move(notice)}});
 }
 
-/// Records the offset of a record; returns false when a newer record of the upstream is known.
-bool AcceptOffset(EventScope& scope, const UpstreamId& id, std::uint64_t offset) {
-  auto& offsets = scope.state.list_offsets;
-  if (offsets.size() > kMaxOffsets) {
-    for (auto entry = offsets.begin(); entry != offsets.end();) {
+/// Records the position of a record; returns false when a newer record of the upstream is known.
+bool AcceptPosition(EventScope& scope, const UpstreamId& id, const StorePosition& position) {
+  auto& positions = scope.state.list_positions;
+  if (positions.size() > kMaxPositions) {
+    for (auto entry = positions.begin(); entry != positions.end();) {
       entry =
-          scope.state.upstreams.count(entry->first) > 0 ? std::next(entry) : offsets.erase(entry);
+          scope.state.upstreams.count(entry->first) > 0 ? std::next(entry) : positions.erase(entry);
     }
   }
-  const auto found = offsets.find(id);
-  if (found != offsets.end() && found->second > offset) {
+  const auto found = positions.find(id);
+  if (found != positions.end() && found->second > position) {
     return false;
   }
-  offsets[id] = offset;
+  positions[id] = position;
   return true;
 }
 
@@ -199,7 +199,7 @@
 void ListUpstream(EventScope& scope, const UpstreamListed& event) {
   const UpstreamEntry& entry = event.entry;
   State& state = scope.state;
-  if (!AcceptOffset(scope, entry.id, event.offset)) {
+  if (!AcceptPosition(scope, entry.id, event.position)) {
     return;
   }
   auto found = state.upstreams.find(entry.id);
@@ -258,7 +258,7 @@
 }
 
 void UnlistUpstream(EventScope& scope, const UpstreamUnlisted& event) {
-  if (!AcceptOffset(scope, event.id, event.offset)) {
+  if (!AcceptPosition(scope, event.id, event.position)) {
     return;
   }
   const auto found = scope.state.upstreams.find(event.id);
@@ -382,9 +382,9 @@
   if (!store.confirmed || *store.confirmed < event.began) {
     store.confirmed = event.began;
   }
-  if (store.offset < event.offset) {
-    store.offset = event.offset;
-    // Makes the next load table, which carries the offset, due at once.
+  if (store.position < event.position) {
+    store.position = event.position;
+    // Makes the next load table, which carries the position, due at once.
     scope.state.load_changes += 1;
   }
   if (!store.is_reachable) {
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -42,14 +42,14 @@
   Json::Value row(Json::arrayValue);
   row.append(Json::UInt64{update.number});
   if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&update.notice)) {
-    row.append(Json::UInt64{unlisted->offset});
+    row.append(Json::UInt64{unlisted->position.offset});
     row.append(unlisted->id);
     row.append(unlisted->may_have_expired);
     return row;
   }
   const auto& listed = std::get<entry::UpstreamListed>(update.notice);
   const entry::UpstreamEntry& entry = listed.entry;
-  row.append(Json::UInt64{listed.offset});
+  row.append(Json::UInt64{listed.position.offset});
   row.append(entry.id);
   row.append(entry.service);
   row.append(entry.endpoint.address);
@@ -63,7 +63,9 @@
   return row;
 }
 
-std::optional<entry::PeerUpdate> DecodeListUpdate(const Json::Value& row) {
+/// @param row The columns of the update.
+/// @param era Era of its position, which the row doesn't hold.
+std::optional<entry::PeerUpdate> DecodeListUpdate(const Json::Value& row, entry::StoreEra era) {
   // Hosts of an earlier version send removed entries without their last column.
   constexpr Json::ArrayIndex kMinUnlistedLength = 3;
   constexpr Json::ArrayIndex kUnlistedLength = 4;
@@ -75,16 +77,17 @@
   }
   Json::ArrayIndex column = 0;
   const std::uint64_t number = row[column++].asUInt64();
-  const std::uint64_t offset = row[column++].asUInt64();
+  const entry::StorePosition position(era, row[column++].asUInt64());
   const std::string id = row[column++].asString();
   if (row.size() <= kUnlistedLength) {
     const bool may_have_expired = row.size() < kUnlistedLength || row[column].asBool();
     return entry::PeerUpdate{
-        number, entry::UpstreamUnlisted{id, offset, entry::UpdateSource::kPeer, may_have_expired}};
+        number,
+        entry::UpstreamUnlisted{id, position, entry::UpdateSource::kPeer, may_have_expired}};
   }
   entry::UpstreamListed listed;
   listed.source = entry::UpdateSource::kPeer;
-  listed.offset = offset;
+  listed.position = position;
   entry::UpstreamEntry& entry = listed.entry;
   entry.id = id;
   entry.service = row[column++].asString();
@@ -99,6 +102,25 @@
   return entry::PeerUpdate{number, std::move(listed)};
 }
 
+/// Eras of the positions of the updates, in their order. They are no column of the rows, since hosts
+/// of an earlier version drop a table with longer rows.
+constexpr char kRecentErasKey[] = "recent_eras";
+constexpr char kEraKey[] = "era";
+
+entry::StoreEra EraOf(const entry::PeerUpdate& update) {
+  return std::visit([](const auto& notice) { return notice.position.era; }, update.notice);
+}
+
+void EncodeConfigurationPosition(Json::Value& root, const entry::StorePosition& position) {
+  root["configuration"] = Json::UInt64{position.offset};
+  root[kEraKey] = Json::UInt64{position.era};
+}
+
+/// Hosts of an earlier version state no era.
+entry::StorePosition DecodeConfigurationPosition(const Json::Value& root) {
+  return {root[kEraKey].asUInt64(), root["configuration"].asUInt64()};
+}
+
 /// Marks a confirmation request or its reply, and holds the time of the request on the clock of the
 /// host that sent it.
 constexpr char kAskedKey[] = "asked_us";
@@ -148,7 +170,7 @@
   received.is_forwarded = root["forwarded"].asBool();
   received.is_stopping = root["stopping"].asBool();
   received.last_update = root["news"].asUInt64();
-  received.configuration_offset = root["configuration"].asUInt64();
+  received.configuration_position = DecodeConfigurationPosition(root);
   if (root.isMember("configuration_age_ms")) {
     received.configuration_age = DecodeAge(root["configuration_age_ms"]);
     if (!received.configuration_age) {
@@ -161,8 +183,9 @@
       return std::nullopt;
     }
   }
-  for (const Json::Value& row : root["recent"]) {
-    auto update = DecodeListUpdate(row);
+  const Json::Value& eras = root[kRecentErasKey];
+  for (Json::ArrayIndex index = 0; index < root["recent"].size(); ++index) {
+    auto update = DecodeListUpdate(root["recent"][index], eras.get(index, 0).asUInt64());
     if (!update) {
       return std::nullopt;
     }
@@ -231,7 +254,7 @@
       return std::nullopt;
     }
     message.content = entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
-                                                  root["configuration"].asUInt64(), *age};
+                                                  DecodeConfigurationPosition(root), *age};
     return message;
   }
   if (root.isMember(kSumKey)) {
@@ -274,7 +297,7 @@
   Json::Value root;
   root["host"] = std::string(host);
   root[internal::kAnsweredKey] = Json::Int64{reply.requested_at.time_since_epoch().count()};
-  root["configuration"] = Json::UInt64{reply.offset};
+  internal::EncodeConfigurationPosition(root, reply.position);
   root["configuration_age_ms"] = Json::Int64{reply.age.count()};
   return internal::WriteCompactJson(root);
 }
@@ -305,8 +328,9 @@
   root["recent"] = Json::Value(Json::arrayValue);
   for (const entry::PeerUpdate& update : load.recent_updates) {
     root["recent"].append(internal::EncodeListUpdate(update));
+    root[internal::kRecentErasKey].append(Json::UInt64{internal::EraOf(update)});
   }
-  root["configuration"] = Json::UInt64{load.configuration_offset};
+  internal::EncodeConfigurationPosition(root, load.configuration_position);
   if (load.configuration_age) {
     root["configuration_age_ms"] = Json::Int64{load.configuration_age->count()};
   }
--- a/test/entry_fuzz/world_store.cc
+++ b/test/entry_fuzz/world_store.cc
@@ -198,7 +198,7 @@
   if (is_list) {
     ApplyEvent(host, ListConfirmed{began});
   } else {
-    ApplyEvent(host, StoreConfirmed{began, *follower.next});
+    ApplyEvent(host, StoreConfirmed{began, {0, *follower.next}});
   }
   if (!reader.state || reader.incarnation != incarnation) {
     return;
@@ -244,10 +244,10 @@
     return;
   }
   UpstreamListRead read;
-  read.end = topic.records.size();
+  read.end = {0, topic.records.size()};
   for (const auto& [key, offset] : newest) {
     if (const auto& upstream = topic.records[offset].upstream) {
-      read.entries.push_back({*upstream, offset});
+      read.entries.push_back({*upstream, {0, offset}});
     }
   }
   ApplyEvent(host, read);
@@ -261,9 +261,9 @@
       ApplyEvent(host, EvacuationRead{record.key, record.is_set});
     }
   } else if (record.upstream) {
-    ApplyEvent(host, UpstreamListed{*record.upstream, offset});
+    ApplyEvent(host, UpstreamListed{*record.upstream, {0, offset}});
   } else {
-    ApplyEvent(host, UpstreamUnlisted{record.key, offset});
+    ApplyEvent(host, UpstreamUnlisted{record.key, {0, offset}});
   }
 }
 
--- a/test/snipeturn/entry/cells_test.cc
+++ b/test/snipeturn/entry/cells_test.cc
@@ -116,7 +116,7 @@
     UpstreamEntry entry = AddUpstream("plain-" + std::to_string(count), "plain");
     entry.cold_left = 5s;
     entry.sequence += 1;
-    Apply(UpstreamListed{entry, 100 + static_cast<std::uint64_t>(count)});
+    Apply(UpstreamListed{entry, {0, 100 + static_cast<std::uint64_t>(count)}});
     starts += IsColdLimitReached(state, state.upstreams.at(entry.id), now) ? 0 : 1;
   }
   // Two of forty hosts start at each upstream.
@@ -294,7 +294,7 @@
   state.last_update += 1;
   CHECK(Select() == Audience::kAll);
   now += 100ms;
-  state.store.offset += 1;
+  state.store.position.offset += 1;
   CHECK(Select() == Audience::kAll);
   now += 500ms;
   CHECK(Select() == Audience::kAll);
@@ -414,7 +414,7 @@
       UpstreamEntry entry = one.AddUpstream("plain-1", "plain", "zone-0");
       entry.cold_left = 5s;
       entry.sequence += 1;
-      one.Apply(UpstreamListed{entry, 100});
+      one.Apply(UpstreamListed{entry, {0, 100}});
       for (int request = 0; request < 8; ++request) {
         one.ReceiveRequest("/book/a");
         starts += static_cast<int>(one.EffectsOf<Send>().size());
--- a/test/snipeturn/entry/confirmation_test.cc
+++ b/test/snipeturn/entry/confirmation_test.cc
@@ -14,7 +14,7 @@
 class ConfirmationFixture : protected EntryFixture {
  protected:
   ConfirmationFixture() {
-    Apply(StoreConfirmed{now, 10});
+    Apply(StoreConfirmed{now, {0, 10}});
     for (const char* reader : {"peer-1", "peer-2", "peer-3"}) {
       state.peers[reader].at = now;
     }
@@ -27,7 +27,7 @@
   std::vector<RequestConfirmation> ReceiveTable(std::uint64_t offset = 10) {
     PeerLoadReceived load;
     load.host = "peer-1";
-    load.configuration_offset = offset;
+    load.configuration_position = {0, offset};
     load.configuration_age = 200ms;
     for (auto& [name, peer] : state.peers) {
       peer.at = now;
@@ -63,7 +63,7 @@
     const RequestConfirmation request = AgeConfirmation();
     CHECK(ReceiveTable().empty());  // A request is already in flight.
     now += 3ms;
-    Apply(ConfirmationReceived{request.requested_at, 10, 400ms});
+    Apply(ConfirmationReceived{request.requested_at, {0, 10}, 400ms});
     CHECK(EffectsOf<ReadConfiguration>().empty());
     CHECK(*state.store.confirmed == request.requested_at - 400ms);
     CHECK(PlanConfigurationReads(state, now).interval > 10s);
@@ -76,7 +76,7 @@
 TEST_CASE_METHOD(ConfirmationFixture, "confirmation_replyLate_ageCountsFromRequest", "[entry]") {
   const RequestConfirmation request = AgeConfirmation();
   now += state.options.bounds.revoke;
-  Apply(ConfirmationReceived{request.requested_at, 10, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 10}, 100ms});
   CHECK(*state.store.confirmed == request.requested_at - 100ms);
   CHECK_FALSE(IsKeyServed());
 }
@@ -87,12 +87,12 @@
                  "[entry]") {
   const auto before = state.store.confirmed;
   const RequestConfirmation request = AgeConfirmation();
-  Apply(ConfirmationReceived{request.requested_at, 11, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 100ms});
   CHECK(EffectsOf<ReadConfiguration>().size() == 1);
   CHECK(state.store.confirmed == before);
   // An unreachable store is not read again with every reply.
   Apply(StoreReadFailed{"down"});
-  Apply(ConfirmationReceived{request.requested_at, 11, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 100ms});
   CHECK(EffectsOf<ReadConfiguration>().empty());
 }
 
@@ -100,7 +100,7 @@
 TEST_CASE_METHOD(ConfirmationFixture, "confirmation_replyToOtherRequest_ignored", "[entry]") {
   const auto before = state.store.confirmed;
   const RequestConfirmation request = AgeConfirmation();
-  Apply(ConfirmationReceived{request.requested_at + 1s, 10, 100ms});
+  Apply(ConfirmationReceived{request.requested_at + 1s, {0, 10}, 100ms});
   CHECK(state.store.confirmed == before);
 }
 
@@ -117,14 +117,14 @@
 // end.
 TEST_CASE_METHOD(ConfirmationFixture, "confirmation_requested_ageCountsFromReadStart", "[entry]") {
   now += 2s;
-  Apply(StoreConfirmed{now - 900ms, 12});
+  Apply(StoreConfirmed{now - 900ms, {0, 12}});
   now += 50ms;
   Apply(ConfirmationRequested{"host-9", TimePoint{7s}});
   const auto replies = EffectsOf<SendConfirmation>();
   REQUIRE(replies.size() == 1);
   CHECK(replies[0].host == "host-9");
   CHECK(replies[0].requested_at == TimePoint{7s});
-  CHECK(replies[0].offset == 12);
+  CHECK(replies[0].position == StorePosition(0, 12));
   CHECK(replies[0].age == 950ms);
   state.store = {};
   Apply(ConfirmationRequested{"host-9", TimePoint{8s}});
--- a/test/snipeturn/entry/crash_world.h
+++ b/test/snipeturn/entry/crash_world.h
@@ -47,7 +47,7 @@
       attempt = attempt->second.host == number ? attempts_.erase(attempt) : std::next(attempt);
     }
     for (const auto& [id, entry] : engines_) {
-      fixture.Apply(UpstreamListed{entry, static_cast<std::uint64_t>(entry.sequence)});
+      fixture.Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(entry.sequence)}});
     }
     hosts_[static_cast<std::size_t>(number)] = std::move(fixture);
   }
@@ -121,7 +121,7 @@
       Apply(host, ended);
     }
     for (int host = 0; host < static_cast<int>(hosts_.size()); ++host) {
-      Apply(host, UpstreamUnlisted{id, ++offset_, UpdateSource::kStore, false});
+      Apply(host, UpstreamUnlisted{id, {0, ++offset_}, UpdateSource::kStore, false});
     }
   }
 
@@ -194,7 +194,7 @@
     entry.sequence = last_engine_;
     engines_[entry.id] = entry;
     for (int host = 0; host < static_cast<int>(hosts_.size()); ++host) {
-      Apply(host, UpstreamListed{entry, ++offset_});
+      Apply(host, UpstreamListed{entry, {0, ++offset_}});
     }
   }
 
--- a/test/snipeturn/entry/entry_fixture.h
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -92,14 +92,14 @@
     entry.slots = service == "engines" ? 24 : 6;
     entry.start_time_ms = 1000;
     entry.sequence = ++sequence;
-    Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+    Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(sequence)}});
     return entry;
   }
 
   void MarkLeaving(UpstreamEntry entry) {
     entry.leaving = true;
     entry.sequence = ++sequence;
-    Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+    Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(sequence)}});
   }
 
   RequestKey ReceiveRequest(const std::string& path,
--- a/test/snipeturn/entry/placement_test.cc
+++ b/test/snipeturn/entry/placement_test.cc
@@ -36,10 +36,10 @@
   AddUpstream("engine-1", "engines");
   AddUpstream("engine-2", "engines", "zone-b");
   Apply(StoreReadFailed{"no answer"});
-  Apply(UpstreamUnlisted{"engine-1", 10});
+  Apply(UpstreamUnlisted{"engine-1", {0, 10}});
   CHECK(Place(3000, 1000) == "engine-2");
   // The entries may have expired because of the outage, so the upstreams are still used.
-  Apply(UpstreamUnlisted{"engine-2", 11});
+  Apply(UpstreamUnlisted{"engine-2", {0, 11}});
   CHECK_FALSE(Place(3000, 1000).empty());
 }
 
--- a/test/snipeturn/entry/signal_world.h
+++ b/test/snipeturn/entry/signal_world.h
@@ -98,7 +98,7 @@
     Apply(number, read);
     for (const auto& [id, server] : servers) {
       Apply(number,
-            UpstreamListed{server.entry, static_cast<std::uint64_t>(server.entry.sequence)});
+            UpstreamListed{server.entry, {0, static_cast<std::uint64_t>(server.entry.sequence)}});
     }
   }
 
@@ -245,7 +245,7 @@
   void ListServer(const UpstreamId& id) {
     UpstreamEntry& entry = servers.at(id).entry;
     entry.sequence += 100;
-    DeliverToAll(UpstreamListed{entry, ++offset_});
+    DeliverToAll(UpstreamListed{entry, {0, ++offset_}});
   }
 
   /// A server's process starts anew under the same id.
--- a/test/snipeturn/entry/store_updates_test.cc
+++ b/test/snipeturn/entry/store_updates_test.cc
@@ -15,7 +15,7 @@
   }
 
   static PeerUpdate MakeUpdate(std::uint64_t number) {
-    return {number, UpstreamUnlisted{"gone", number, UpdateSource::kPeer}};
+    return {number, UpstreamUnlisted{"gone", {0, number}, UpdateSource::kPeer}};
   }
 
   std::optional<Refuse> Refusal() {
@@ -99,11 +99,11 @@
 TEST_CASE_METHOD(StoreUpdatesFixture, "upstream_expiresDuringOutage_staysInService", "[entry]") {
   const UpstreamEntry entry = AddUpstream("plain-1", "plain");
   Apply(StoreReadFailed{"down"});
-  Apply(UpstreamUnlisted{"plain-1", 100});
+  Apply(UpstreamUnlisted{"plain-1", {0, 100}});
   CHECK(IsSent());
   SECTION("reappears within two seconds") {
     AdvanceTime(1500ms);
-    Apply(UpstreamListed{entry, 101});
+    Apply(UpstreamListed{entry, {0, 101}});
     AdvanceTime(3000ms);
     CHECK(IsSent());
   }
@@ -128,7 +128,7 @@
   load.host = "host-2";
   Apply(load);
   load.last_update = 1;
-  UpstreamUnlisted removed{send.upstream, 100, UpdateSource::kPeer, false};
+  UpstreamUnlisted removed{send.upstream, {0, 100}, UpdateSource::kPeer, false};
   SECTION("peer reads the store without failures") {
     load.recent_updates = {{1, removed}};
     Apply(load);
@@ -153,7 +153,7 @@
   if (is_outage) {
     Apply(StoreReadFailed{"down"});
   }
-  Apply(UpstreamUnlisted{"plain-1", 100});
+  Apply(UpstreamUnlisted{"plain-1", {0, 100}});
   const PeerLoadReceived table = MakeLoadBroadcast(state, now);
   const auto* told = std::get_if<UpstreamUnlisted>(&table.recent_updates.back().notice);
   REQUIRE(told != nullptr);
@@ -164,17 +164,17 @@
                  "upstream_entryRemovedWithoutOutage_leavesAtOnce",
                  "[entry]") {
   const UpstreamEntry entry = AddUpstream("plain-1", "plain");
-  Apply(UpstreamUnlisted{"plain-1", 100});
+  Apply(UpstreamUnlisted{"plain-1", {0, 100}});
   CHECK_FALSE(IsSent());
-  Apply(UpstreamListed{entry, 101});
+  Apply(UpstreamListed{entry, {0, 101}});
   CHECK(IsSent());
 }
 
 // Guards against a late message of a peer that returns a removed upstream to service.
 TEST_CASE_METHOD(StoreUpdatesFixture, "upstream_lateRecord_ignored", "[entry]") {
   const UpstreamEntry entry = AddUpstream("plain-1", "plain");
-  Apply(UpstreamUnlisted{"plain-1", 100});
-  Apply(UpstreamListed{entry, 50, UpdateSource::kPeer});
+  Apply(UpstreamUnlisted{"plain-1", {0, 100}});
+  Apply(UpstreamListed{entry, {0, 50}, UpdateSource::kPeer});
   CHECK_FALSE(IsSent());
 }
 
@@ -183,11 +183,11 @@
   UpstreamEntry entry = AddUpstream("plain-1", "plain");
   entry.start_time_ms = 2000;
   entry.sequence = 1;
-  Apply(UpstreamListed{entry, 100});
+  Apply(UpstreamListed{entry, {0, 100}});
   entry.start_time_ms = 1000;
   entry.sequence = 99;
   entry.leaving = true;
-  Apply(UpstreamListed{entry, 101});
+  Apply(UpstreamListed{entry, {0, 101}});
   CHECK(IsSent());
 }
 
@@ -196,11 +196,11 @@
   UpstreamEntry entry = AddUpstream("plain-1", "plain");
   CHECK(state.last_update == 1);
   entry.sequence += 1;
-  Apply(UpstreamListed{entry, 100});
+  Apply(UpstreamListed{entry, {0, 100}});
   CHECK(state.last_update == 1);
   entry.leaving = true;
   entry.sequence += 1;
-  Apply(UpstreamListed{entry, 101, UpdateSource::kPeer});
+  Apply(UpstreamListed{entry, {0, 101}, UpdateSource::kPeer});
   CHECK(state.last_update == 1);
   CHECK_FALSE(IsSent());
 }
@@ -222,7 +222,7 @@
   UpstreamEntry entry = AddUpstream("plain-1", "plain");
   entry.cold_left = 2s;
   entry.sequence += 1;
-  Apply(UpstreamListed{entry, 100});
+  Apply(UpstreamListed{entry, {0, 100}});
   int sent = 0;
   for (int count = 0; count < 6; ++count) {
     sent += IsSent() ? 1 : 0;
@@ -265,13 +265,13 @@
 // Guards against a change of the configuration that a host sees only with its own next regular
 // read.
 TEST_CASE_METHOD(StoreUpdatesFixture, "configuration_peerHasReadFurther_readAtOnce", "[entry]") {
-  Apply(StoreConfirmed{now, 10});
+  Apply(StoreConfirmed{now, {0, 10}});
   PeerLoadReceived load;
   load.host = "host-2";
-  load.configuration_offset = 10;
+  load.configuration_position = {0, 10};
   Apply(load);
   CHECK(EffectsOf<ReadConfiguration>().empty());
-  load.configuration_offset = 11;
+  load.configuration_position = {0, 11};
   Apply(load);
   CHECK(EffectsOf<ReadConfiguration>().size() == 1);
 }
@@ -296,7 +296,7 @@
   now += 300ms;
   Apply(load);
   CHECK(EffectsOf<ReadConfiguration>().empty());
-  load.configuration_offset = 12;
+  load.configuration_position = {0, 12};
   Apply(load);
   CHECK(EffectsOf<ReadConfiguration>().empty());
   // This host was cut off from all others: it reads at once when their tables arrive again.
@@ -355,7 +355,7 @@
     }
     constexpr auto kIntervalCheck = 300ms;
     CHECK(2 * reads.wait + interval + kIntervalCheck < state.options.bounds.revoke * 6 / 10);
-    Apply(StoreConfirmed{now, 10});
+    Apply(StoreConfirmed{now, {0, 10}});
     PeerLoad& peer = state.peers["peer-" + std::to_string(hosts)];
     peer.at = now;
     peer.configuration_confirmed = now;
--- a/test/snipeturn/entry/sums_test.cc
+++ b/test/snipeturn/entry/sums_test.cc
@@ -29,7 +29,7 @@
       UpstreamEntry entry = one.AddUpstream("plain-1", "plain");
       entry.cold_left = 5s;
       entry.sequence += 1;
-      one.Apply(UpstreamListed{entry, 100});
+      one.Apply(UpstreamListed{entry, {0, 100}});
       for (int request = 0; request < 8; ++request) {
         one.ReceiveRequest("/book/a");
         starts += static_cast<int>(one.EffectsOf<Send>().size());
--- a/test/snipeturn/entry/upstream_signals_test.cc
+++ b/test/snipeturn/entry/upstream_signals_test.cc
@@ -361,7 +361,7 @@
   now += 10ms;
   entry.start_time_ms += 1000;
   entry.sequence = ++sequence;
-  Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+  Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(sequence)}});
   now += 10ms;
   Apply(UpstreamSignalled{"plain-1", sent_at, signals});
   ReceiveRequest("/look/a");
@@ -383,7 +383,7 @@
   entry.id = has_new_id ? "plain-2" : "plain-1";
   entry.start_time_ms += 1000;
   entry.sequence = ++sequence;
-  Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+  Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(sequence)}});
   ReceiveRequest("/look/a");
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].upstream == entry.id);
@@ -411,9 +411,9 @@
   CHECK(world.ArrivalsSince("server-1", since) == 0);
   CHECK(world.refused.empty());
   SECTION("its entry goes and comes back") {
-    world.DeliverToAll(UpstreamUnlisted{"server-1", 5000, UpdateSource::kStore, false});
+    world.DeliverToAll(UpstreamUnlisted{"server-1", {0, 5000}, UpdateSource::kStore, false});
     world.Run(500ms, 200);
-    world.DeliverToAll(UpstreamListed{world.servers.at("server-1").entry, 5001});
+    world.DeliverToAll(UpstreamListed{world.servers.at("server-1").entry, {0, 5001}});
     world.Run(2s, 200);
     CHECK(world.ArrivalsSince("server-1", since) == 0);
   }
@@ -442,7 +442,7 @@
   Apply(UpstreamSignalled{"plain-1", now, SignalWorld::Leaving()});
   const auto list = [&] {
     entry.sequence = ++sequence;
-    Apply(UpstreamListed{entry, static_cast<std::uint64_t>(sequence)});
+    Apply(UpstreamListed{entry, {0, static_cast<std::uint64_t>(sequence)}});
     ConfirmStore();
     ReceiveRequest("/look/a");
     return EffectsOf<Send>().size();
--- a/test/snipeturn/loop/entry_runtime_peers_test.cc
+++ b/test/snipeturn/loop/entry_runtime_peers_test.cc
@@ -55,7 +55,7 @@
     upstream.zone = std::string(255, 'z');
     upstream.endpoint = {"10.123.123.123", 65535};
     upstream.slots = 6;
-    runtime.Apply(entry::UpstreamListed{upstream, ++last_offset});
+    runtime.Apply(entry::UpstreamListed{upstream, {0, ++last_offset}});
   }
   const auto table = entry::MakeLoadBroadcast(runtime.state(), BootTime());
   CHECK(EncodeLoad(table).size() < kMaxDatagramBytes);
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -132,7 +132,7 @@
   AddUpstream("engine-2", "engines", {"127.0.0.1", FreePort()});
   entry::UpstreamEntry source = runtime.state().upstreams.at("engine-1").entry;
   source.leaving = true;
-  runtime.Apply(entry::UpstreamListed{source, ++last_offset});
+  runtime.Apply(entry::UpstreamListed{source, {0, ++last_offset}});
   REQUIRE(RunUntil([this] { return IsUpstreamReached() && upstream_sockets.size() == 2; }));
   REQUIRE(ReadUntil(upstream_sockets.back(), "target").find("kv-move") != std::string::npos);
   const auto migration = [this] { return runtime.state().requests.begin()->second.migration; };
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -58,19 +58,19 @@
   load.zone = "zone-a";
   load.is_stopping = true;
   load.last_update = 7;
-  load.configuration_offset = 33;
+  load.configuration_position = {2, 33};
   load.list_age = std::chrono::milliseconds(120);
   load.load["engine-1"] = {3, 9000, 2000};
   load.outcomes["engine-1"].failures = 2.5;
   load.outcomes["engine-1"].responses = 12;
   entry::UpstreamListed listed;
-  listed.offset = 12;
+  listed.position = {2, 12};
   listed.entry.id = "engine-1";
   listed.entry.service = "engines";
   listed.entry.endpoint = {"10.0.0.1", 80};
   listed.entry.leaving = true;
   listed.entry.start_time_ms = 1790101750402;
-  load.recent_updates = {{6, listed}, {7, entry::UpstreamUnlisted{"engine-2", 13}}};
+  load.recent_updates = {{6, listed}, {7, entry::UpstreamUnlisted{"engine-2", {1, 13}}}};
   const bool may_have_expired = GENERATE(true, false);
   std::get<entry::UpstreamUnlisted>(load.recent_updates[1].notice).may_have_expired =
       may_have_expired;
@@ -83,7 +83,7 @@
   CHECK(received->zone == "zone-a");
   CHECK(received->is_stopping);
   CHECK(received->last_update == 7);
-  CHECK(received->configuration_offset == 33);
+  CHECK(received->configuration_position == entry::StorePosition(2, 33));
   CHECK_FALSE(received->configuration_age);
   CHECK(received->list_age == std::chrono::milliseconds(120));
   CHECK(received->load.at("engine-1").tokens == 9000);
@@ -96,7 +96,7 @@
   CHECK(first.entry.leaving);
   CHECK(first.source == entry::UpdateSource::kPeer);
   const auto& second = std::get<entry::UpstreamUnlisted>(received->recent_updates[1].notice);
-  CHECK(second.offset == 13);
+  CHECK(second.position == entry::StorePosition(1, 13));
   CHECK(second.may_have_expired == may_have_expired);
 }
 
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -68,7 +68,7 @@
     upstream.zone = "zone-a";
     upstream.endpoint = at;
     upstream.slots = 6;
-    runtime.Apply(entry::UpstreamListed{upstream, ++last_offset});
+    runtime.Apply(entry::UpstreamListed{upstream, {0, ++last_offset}});
     return upstream;
   }
 
