Compare positions of the store's logs by their era between hosts

What callers saw: after the store came back from an older copy, hosts refused routes of a new version with 404, or served by the older one, for ten seconds and more (CONFIG, DENIED).

Cause: the offset up to which the configuration was confirmed only rose, and hosts compared offsets of the log before the return with those of the log after it.

The era is part of each position now. A higher one, from a response of the store or from a peer, makes this host read everything anew (823). Confirmations and reads of another era don't count (827), and a reader that hasn't seen the return isn't relied on. A host that is cut off from the store may still count a confirmation of the new log if its version is no older than the peer's, as versions only rise.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -30,10 +30,13 @@
 
 inline constexpr LogEvent kStoreLost{821, "store_lost", LogLevel::kWarning};
 inline constexpr LogEvent kStoreRegained{822, "store_regained", LogLevel::kInfo};
+inline constexpr LogEvent kStoreReturned{823, "store_returned", LogLevel::kWarning};
+inline constexpr LogEvent kConfirmationIgnored{827, "confirmation_ignored", LogLevel::kWarning};
 inline constexpr LogEvent kStoreEraRead{828, "store_era_read", LogLevel::kWarning};
 inline constexpr LogEvent kTopicEraChanged{829, "topic_era_changed", LogLevel::kWarning};
 inline constexpr LogEvent kSnapshotRead{830, "snapshot_read", LogLevel::kInfo};
 inline constexpr LogEvent kConfigurationRecord{839, "configuration_record", LogLevel::kInfo};
+inline constexpr LogEvent kStoreEraUnreadable{840, "store_era_unreadable", LogLevel::kWarning};
 
 inline constexpr LogEvent kQueued{831, "queued", LogLevel::kInfo};
 inline constexpr LogEvent kSent{832, "sent", LogLevel::kInfo};
@@ -66,6 +69,7 @@
 inline constexpr CounterName kQuarantines{"snipeturn_quarantines_total", "change"};
 inline constexpr CounterName kUpstreamSignals{"snipeturn_upstream_signals_total", "signal"};
 inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
+inline constexpr CounterName kStoreReturns{"snipeturn_store_returns_total", "source"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -1,9 +1,13 @@
 #include "snipeturn/entry/confirmation.h"
 
+#include <fmt/format.h>
+
 #include <optional>
 #include <string>
 
+#include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/store_return.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -20,7 +24,7 @@
   std::optional<std::string> most_recent;
   TimePoint read_at{};
   for (const auto& [host, peer] : state.peers) {
-    if (IsActiveConfigurationReader(peer, now) &&
+    if (IsActiveConfigurationReader(state, peer, now) &&
         (!most_recent || *peer.configuration_confirmed > read_at)) {
       most_recent = host;
       read_at = *peer.configuration_confirmed;
@@ -55,18 +59,34 @@
   }
   scope.effects.push_back(
       SendConfirmation{event.host, event.requested_at, store.position,
+                       scope.state.desired ? scope.state.desired->version : 0,
                        std::chrono::ceil<std::chrono::milliseconds>(scope.now - *store.confirmed)});
 }
 
 void HandleConfirmation(EventScope& scope, const ConfirmationReceived& event) {
-  StoreView& store = scope.state.store;
+  State& state = scope.state;
+  StoreView& store = state.store;
+  LearnEra(scope, event.position.era, "peer");
   // A reply to a request that this host sent before a restart or has replaced by a later one.
   if (!store.requested_at || *store.requested_at != event.requested_at) {
     return;
   }
-  if (event.position > store.position) {
-    if (store.is_reachable) {
-      scope.effects.push_back(ReadConfiguration{});
+  // The other host's log is another one if the store came back from a copy that only one of them
+  // has read. Then the version tells whether this host has all that the other one has.
+  const bool is_other_log = event.position.era != store.position.era;
+  const bool has_version =
+      state.desired && event.version && *event.version <= state.desired->version;
+  if (event.position > store.position && store.is_reachable) {
+    scope.effects.push_back(ReadConfiguration{});
+  }
+  const bool is_covered = is_other_log ? has_version && event.position.era > store.position.era
+                                       : !(event.position > store.position);
+  if (!is_covered) {
+    if (is_other_log) {
+      Log(scope, log_events::kConfirmationIgnored,
+          fmt::format("era={} offset={} peer_era={} peer_offset={} peer_version={}",
+                      store.position.era, store.position.offset, event.position.era,
+                      event.position.offset, event.version.value_or(-1)));
     }
     return;
   }
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -111,6 +111,10 @@
 /// Read the configuration now, as another host has read further.
 struct ReadConfiguration {};
 
+/// Read the newest records of all topics anew, as the store may list some that are older than what
+/// this host knows.
+struct ReadSnapshots {};
+
 /// Forward the load table of a host of another cell to the hosts of this cell.
 struct ForwardLoad {
   PeerLoadReceived load;
@@ -133,6 +137,8 @@
   /// Time of the request by the requesting host's clock.
   TimePoint requested_at{};
   StorePosition position{};
+  /// Version of this host's configuration.
+  std::int64_t version{0};
   /// Age of this host's last read, counted from its start.
   std::chrono::milliseconds age{0};
 };
@@ -172,6 +178,7 @@
                             ReadReport,
                             ReadList,
                             ReadConfiguration,
+                            ReadSnapshots,
                             ForwardLoad,
                             ForwardCellLoad,
                             RequestConfirmation,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -143,6 +143,13 @@
 struct EvacuationRead {
   std::string zone;
   bool evacuated{false};
+  /// Position of the record.
+  StorePosition position{};
+};
+
+/// All evacuations that the store lists, read after records may have been missed.
+struct EvacuationsRead {
+  std::vector<EvacuationRead> evacuations;
 };
 
 /// Origin of an update about an upstream.
@@ -176,6 +183,8 @@
 struct ListConfirmed {
   /// When the read began.
   TimePoint began{};
+  /// Position after the last record that was read.
+  StorePosition position{};
 };
 
 /// The newest record of each upstream in the list, read after records were missed.
@@ -193,6 +202,11 @@
   StorePosition position{};
 };
 
+/// A response of the store states an era that is higher than those of its earlier responses.
+struct StoreEraRead {
+  StoreEra era{0};
+};
+
 /// A read of the store failed.
 struct StoreReadFailed {
   std::string reason;
@@ -241,6 +255,8 @@
   std::vector<PeerUpdate> recent_updates;
   /// Position up to which the host has read the configuration.
   StorePosition configuration_position{};
+  /// Version of its configuration; empty while it has none.
+  std::optional<std::int64_t> configuration_version;
   /// Time since its last read of the configuration ended. Set only by a host that waits at the
   /// store for changes, and thus would have broadcast one.
   std::optional<std::chrono::milliseconds> configuration_age;
@@ -289,6 +305,8 @@
   TimePoint requested_at{};
   /// Position that the other host's last read had reached when it ended.
   StorePosition position{};
+  /// Version of the other host's configuration; empty in the replies of an earlier release.
+  std::optional<std::int64_t> version;
   /// Time from the start of that read to the reply.
   std::chrono::milliseconds age{0};
 };
@@ -340,12 +358,14 @@
                            CopyEnded,
                            DesiredStateRead,
                            EvacuationRead,
+                           EvacuationsRead,
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
                            UpstreamReported,
                            ListConfirmed,
                            StoreConfirmed,
+                           StoreEraRead,
                            StoreReadFailed,
                            HostsRead,
                            PeerLoadReceived,
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -47,6 +47,9 @@
     }
   }
   table.configuration_position = state.store.position;
+  if (state.desired) {
+    table.configuration_version = state.desired->version;
+  }
   if (state.store.confirmed && IsConfigurationReader(state, now)) {
     table.configuration_age = ToMilliseconds(now - state.store.read_at);
   }
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/store_updates.h"
 #include "snipeturn/entry/upstream_signals.h"
 
@@ -39,6 +40,16 @@
   return was_away && event.configuration_age && *event.configuration_age < kRecentReadAge;
 }
 
+/// Newest era of the store that a table shows.
+StoreEra NewestEra(const PeerLoadReceived& event) {
+  StoreEra era = event.configuration_position.era;
+  for (const PeerUpdate& update : event.recent_updates) {
+    era = std::max(
+        era, std::visit([](const auto& notice) { return notice.position.era; }, update.notice));
+  }
+  return era;
+}
+
 void ApplyUpdate(EventScope& scope, const PeerUpdate& update) {
   std::visit(
       [&scope](const auto& notice) {
@@ -75,6 +86,7 @@
     return;
   }
   peer.broadcast_at = event.broadcast_at;
+  LearnEra(scope, NewestEra(event), "peer");
   // The number is lower after a restart of the host.
   const bool has_reported = std::exchange(peer.has_reported, true);
   std::uint64_t known = peer.last_update;
@@ -90,6 +102,7 @@
   has_gap = has_gap || (has_reported && event.last_update > known);
   const bool is_store_back = HasResumedReading(peer, event, scope.now);
   peer.at = scope.now;
+  peer.era = event.configuration_position.era;
   peer.zone = event.zone;
   peer.cell = event.cell;
   peer.is_stopping = event.is_stopping;
@@ -122,7 +135,8 @@
   }
   // While the store is unreachable for this host it is read again as soon as a peer reaches it
   // again, otherwise after the backoff that follows a failed read.
-  if (state.store.is_reachable ? event.configuration_position > state.store.position : is_store_back) {
+  if (state.store.is_reachable ? event.configuration_position > state.store.position
+                               : is_store_back) {
     scope.effects.push_back(ReadConfiguration{});
   }
   const bool is_for_cell = HasCells(state) && !event.cell.empty() && event.cell != state.cell;
--- a/src/snipeturn/entry/readers.cc
+++ b/src/snipeturn/entry/readers.cc
@@ -40,11 +40,14 @@
 /// second.
 constexpr std::chrono::milliseconds kOwnConfigurationInterval{900};
 
-bool IsRecentRead(const PeerLoad& peer,
+/// A peer that hasn't seen that the store came back from a copy reads a log that no longer exists.
+bool IsRecentRead(const State& state,
+                  const PeerLoad& peer,
                   const std::optional<TimePoint>& confirmed,
                   std::chrono::milliseconds limit,
                   TimePoint now) {
-  return now - peer.at < kReaderTimeout && confirmed && now - *confirmed < limit;
+  return now - peer.at < kReaderTimeout && confirmed && now - *confirmed < limit &&
+         peer.era >= state.store.era.value_or(0);
 }
 
 }  // namespace
@@ -70,18 +73,18 @@
   return ReaderRank(state, internal::kConfigurationSubject, now) <= 1;
 }
 
-bool IsActiveConfigurationReader(const PeerLoad& peer, TimePoint now) {
-  return internal::IsRecentRead(peer, peer.configuration_confirmed, internal::kMaxConfigurationAge,
-                                now);
+bool IsActiveConfigurationReader(const State& state, const PeerLoad& peer, TimePoint now) {
+  return internal::IsRecentRead(state, peer, peer.configuration_confirmed,
+                                internal::kMaxConfigurationAge, now);
 }
 
 bool IsUpstreamListFresh(const State& state, TimePoint now) {
   if (state.list_confirmed && now - *state.list_confirmed < internal::kMaxListAge) {
     return true;
   }
-  return std::any_of(state.peers.begin(), state.peers.end(), [now](const auto& entry) {
-    return internal::IsRecentRead(entry.second, entry.second.list_confirmed, internal::kMaxListAge,
-                                  now);
+  return std::any_of(state.peers.begin(), state.peers.end(), [&state, now](const auto& entry) {
+    return internal::IsRecentRead(state, entry.second, entry.second.list_confirmed,
+                                  internal::kMaxListAge, now);
   });
 }
 
@@ -94,9 +97,10 @@
     default:
       break;
   }
-  const bool is_reader_known = std::any_of(
-      state.peers.begin(), state.peers.end(),
-      [now](const auto& entry) { return IsActiveConfigurationReader(entry.second, now); });
+  const bool is_reader_known =
+      std::any_of(state.peers.begin(), state.peers.end(), [&state, now](const auto& entry) {
+        return IsActiveConfigurationReader(state, entry.second, now);
+      });
   if (!is_reader_known) {
     return {std::chrono::milliseconds{0}, internal::kOwnConfigurationInterval};
   }
--- a/src/snipeturn/entry/readers.h
+++ b/src/snipeturn/entry/readers.h
@@ -38,8 +38,10 @@
 [[nodiscard]] bool IsConfigurationReader(const State& state, TimePoint now);
 
 /// @brief Tells whether a peer waits at the store for changes of the configuration and has read it
-///     recently.
-[[nodiscard]] bool IsActiveConfigurationReader(const PeerLoad& peer, TimePoint now);
+///     recently, in the era of the store that this host knows.
+[[nodiscard]] bool IsActiveConfigurationReader(const State& state,
+                                               const PeerLoad& peer,
+                                               TimePoint now);
 
 /// @brief Tells whether this host or a peer has read the upstream list recently.
 [[nodiscard]] bool IsUpstreamListFresh(const State& state, TimePoint now);
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -15,6 +15,7 @@
 #include "snipeturn/entry/outcome.h"
 #include "snipeturn/entry/peers.h"
 #include "snipeturn/entry/shutdown.h"
+#include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/store_updates.h"
 #include "snipeturn/entry/upstream_signals.h"
 
@@ -100,6 +101,8 @@
           AdoptDesiredState(scope, item);
         } else if constexpr (std::is_same_v<Item, EvacuationRead>) {
           AdoptEvacuation(scope, item);
+        } else if constexpr (std::is_same_v<Item, EvacuationsRead>) {
+          AdoptEvacuations(scope, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListed>) {
           ListUpstream(scope, item);
           if (!IsScheduled(state.timers, {TimerKind::kEntryReports, 0})) {
@@ -111,6 +114,8 @@
           AdoptUpstreamList(scope, item);
         } else if constexpr (std::is_same_v<Item, StoreConfirmed>) {
           ConfirmStore(scope, item);
+        } else if constexpr (std::is_same_v<Item, StoreEraRead>) {
+          LearnEra(scope, item.era, "store");
         } else if constexpr (std::is_same_v<Item, StoreReadFailed>) {
           HandleStoreFailure(scope, item);
         } else if constexpr (std::is_same_v<Item, HostsRead>) {
@@ -128,7 +133,7 @@
         } else if constexpr (std::is_same_v<Item, UpstreamReported>) {
           HandleReport(scope, item);
         } else if constexpr (std::is_same_v<Item, ListConfirmed>) {
-          state.list_confirmed = item.began;
+          ConfirmList(scope, item);
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
           state.options.bounds = item.bounds;
         } else if constexpr (std::is_same_v<Item, ShutdownRequested>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -32,6 +32,8 @@
   TimePoint read_at{};
   /// Position up to which the configuration has been read.
   StorePosition position{};
+  /// Highest era known, from the store's responses or from peers.
+  std::optional<StoreEra> era;
   /// Time of the last failed read.
   std::optional<TimePoint> failed;
   bool is_reachable{false};
@@ -40,6 +42,8 @@
 /// Load reported by another host.
 struct PeerLoad {
   TimePoint at{};
+  /// Era of the store in which the host has read.
+  StoreEra era{0};
   std::string zone;
   /// The cell to which it broadcasts its load; empty when it broadcasts to all hosts.
   std::string cell;
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -15,6 +15,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry::internal {
@@ -196,6 +197,17 @@
   DispatchQueue(scope);
 }
 
+void AdoptEvacuations(EventScope& scope, const EvacuationsRead& event) {
+  std::set<std::string> ended = scope.state.evacuated_zones;
+  for (const EvacuationRead& evacuation : event.evacuations) {
+    ended.erase(evacuation.zone);
+    AdoptEvacuation(scope, evacuation);
+  }
+  for (const std::string& zone : ended) {
+    AdoptEvacuation(scope, {zone, false, {}});
+  }
+}
+
 void ListUpstream(EventScope& scope, const UpstreamListed& event) {
   const UpstreamEntry& entry = event.entry;
   State& state = scope.state;
@@ -286,6 +298,9 @@
 }
 
 void AdoptUpstreamList(EventScope& scope, const UpstreamListRead& event) {
+  if (event.end.era < scope.state.store.era.value_or(0)) {
+    return;  // A peer has told meanwhile that the store came back from a copy.
+  }
   std::set<UpstreamId> listed;
   for (const UpstreamListed& item : event.entries) {
     listed.insert(item.entry.id);
@@ -376,12 +391,18 @@
   }
 }
 
+void ConfirmList(EventScope& scope, const ListConfirmed& event) {
+  if (event.position.era >= scope.state.store.era.value_or(0)) {
+    scope.state.list_confirmed = event.began;
+  }
+}
+
 void ConfirmStore(EventScope& scope, const StoreConfirmed& event) {
   StoreView& store = scope.state.store;
-  store.read_at = scope.now;
-  if (!store.confirmed || *store.confirmed < event.began) {
-    store.confirmed = event.began;
+  if (event.position.era < store.era.value_or(0)) {
+    return;  // A peer has told meanwhile that the store came back from a copy.
   }
+  store.read_at = scope.now;
   if (store.position < event.position) {
     store.position = event.position;
     // Makes the next load table, which carries the position, due at once.
@@ -391,6 +412,9 @@
     store.is_reachable = true;
     Log(scope, log_events::kStoreRegained, "");
   }
+  if (!store.confirmed || *store.confirmed < event.began) {
+    store.confirmed = event.began;
+  }
 }
 
 void HandleStoreFailure(EventScope& scope, const StoreReadFailed& event) {
--- a/src/snipeturn/entry/store_updates.h
+++ b/src/snipeturn/entry/store_updates.h
@@ -12,6 +12,10 @@
 
 void AdoptEvacuation(EventScope& scope, const EvacuationRead& event);
 
+/// @brief Handles a complete read of the evacuations; those of other zones have ended, unless the
+///     store may lack records as it came back from an older copy.
+void AdoptEvacuations(EventScope& scope, const EvacuationsRead& event);
+
 /// @brief Handles an entry of the upstream list.
 void ListUpstream(EventScope& scope, const UpstreamListed& event);
 
@@ -40,6 +44,9 @@
 ///     and have no work, and ends limits that upstreams have not repeated.
 void ReviewUpstreams(EventScope& scope);
 
+/// @brief Handles a read of the upstream list that missed no record.
+void ConfirmList(EventScope& scope, const ListConfirmed& event);
+
 void ConfirmStore(EventScope& scope, const StoreConfirmed& event);
 void HandleStoreFailure(EventScope& scope, const StoreReadFailed& event);
 
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -345,6 +345,10 @@
           if (request_configuration_read_) {
             request_configuration_read_();
           }
+        } else if constexpr (std::is_same_v<Item, entry::ReadSnapshots>) {
+          if (request_snapshots_) {
+            request_snapshots_();
+          }
         } else if constexpr (std::is_same_v<Item, entry::ForwardLoad>) {
           ForwardLoad(std::move(item.load));
         } else if constexpr (std::is_same_v<Item, entry::ForwardCellLoad>) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -67,6 +67,11 @@
     request_configuration_read_ = std::move(configuration);
   }
 
+  /// @brief Sets the callback that reads the newest records of all topics anew.
+  void SetSnapshotCallback(std::function<void()> snapshots) {
+    request_snapshots_ = std::move(snapshots);
+  }
+
   /// @brief Sets the callback that keeps a crash report in the store.
   void SetSaveCallback(std::function<void(const entry::CrashReport&)> save) {
     save_crash_report_ = std::move(save);
@@ -196,6 +201,7 @@
   entry::RequestKey next_request_{1};
   std::function<void()> request_list_read_;
   std::function<void()> request_configuration_read_;
+  std::function<void()> request_snapshots_;
   std::function<void(const entry::CrashReport&)> save_crash_report_;
   entry::BroadcastState broadcast_;
 };
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -102,10 +102,11 @@
   return entry::PeerUpdate{number, std::move(listed)};
 }
 
-/// Eras of the positions of the updates, in their order. They are no column of the rows, since hosts
-/// of an earlier version drop a table with longer rows.
+/// Eras of the positions of the updates, in their order. They are no column of the rows, since
+/// hosts of an earlier version drop a table with longer rows.
 constexpr char kRecentErasKey[] = "recent_eras";
 constexpr char kEraKey[] = "era";
+constexpr char kVersionKey[] = "version";
 
 entry::StoreEra EraOf(const entry::PeerUpdate& update) {
   return std::visit([](const auto& notice) { return notice.position.era; }, update.notice);
@@ -121,6 +122,10 @@
   return {root[kEraKey].asUInt64(), root["configuration"].asUInt64()};
 }
 
+std::optional<std::int64_t> DecodeVersion(const Json::Value& root) {
+  return root.isMember(kVersionKey) ? std::optional(root[kVersionKey].asInt64()) : std::nullopt;
+}
+
 /// Marks a confirmation request or its reply, and holds the time of the request on the clock of the
 /// host that sent it.
 constexpr char kAskedKey[] = "asked_us";
@@ -171,6 +176,7 @@
   received.is_stopping = root["stopping"].asBool();
   received.last_update = root["news"].asUInt64();
   received.configuration_position = DecodeConfigurationPosition(root);
+  received.configuration_version = DecodeVersion(root);
   if (root.isMember("configuration_age_ms")) {
     received.configuration_age = DecodeAge(root["configuration_age_ms"]);
     if (!received.configuration_age) {
@@ -253,8 +259,9 @@
     if (!age) {
       return std::nullopt;
     }
-    message.content = entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
-                                                  DecodeConfigurationPosition(root), *age};
+    message.content =
+        entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
+                                    DecodeConfigurationPosition(root), DecodeVersion(root), *age};
     return message;
   }
   if (root.isMember(kSumKey)) {
@@ -298,6 +305,7 @@
   root["host"] = std::string(host);
   root[internal::kAnsweredKey] = Json::Int64{reply.requested_at.time_since_epoch().count()};
   internal::EncodeConfigurationPosition(root, reply.position);
+  root[internal::kVersionKey] = Json::Int64{reply.version};
   root["configuration_age_ms"] = Json::Int64{reply.age.count()};
   return internal::WriteCompactJson(root);
 }
@@ -331,6 +339,9 @@
     root[internal::kRecentErasKey].append(Json::UInt64{internal::EraOf(update)});
   }
   internal::EncodeConfigurationPosition(root, load.configuration_position);
+  if (load.configuration_version) {
+    root[internal::kVersionKey] = Json::Int64{*load.configuration_version};
+  }
   if (load.configuration_age) {
     root["configuration_age_ms"] = Json::Int64{load.configuration_age->count()};
   }
--- a/test/snipeturn/entry/confirmation_test.cc
+++ b/test/snipeturn/entry/confirmation_test.cc
@@ -63,7 +63,7 @@
     const RequestConfirmation request = AgeConfirmation();
     CHECK(ReceiveTable().empty());  // A request is already in flight.
     now += 3ms;
-    Apply(ConfirmationReceived{request.requested_at, {0, 10}, 400ms});
+    Apply(ConfirmationReceived{request.requested_at, {0, 10}, 1, 400ms});
     CHECK(EffectsOf<ReadConfiguration>().empty());
     CHECK(*state.store.confirmed == request.requested_at - 400ms);
     CHECK(PlanConfigurationReads(state, now).interval > 10s);
@@ -76,7 +76,7 @@
 TEST_CASE_METHOD(ConfirmationFixture, "confirmation_replyLate_ageCountsFromRequest", "[entry]") {
   const RequestConfirmation request = AgeConfirmation();
   now += state.options.bounds.revoke;
-  Apply(ConfirmationReceived{request.requested_at, {0, 10}, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 10}, 1, 100ms});
   CHECK(*state.store.confirmed == request.requested_at - 100ms);
   CHECK_FALSE(IsKeyServed());
 }
@@ -87,12 +87,12 @@
                  "[entry]") {
   const auto before = state.store.confirmed;
   const RequestConfirmation request = AgeConfirmation();
-  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 1, 100ms});
   CHECK(EffectsOf<ReadConfiguration>().size() == 1);
   CHECK(state.store.confirmed == before);
   // An unreachable store is not read again with every reply.
   Apply(StoreReadFailed{"down"});
-  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 100ms});
+  Apply(ConfirmationReceived{request.requested_at, {0, 11}, 1, 100ms});
   CHECK(EffectsOf<ReadConfiguration>().empty());
 }
 
@@ -100,7 +100,7 @@
 TEST_CASE_METHOD(ConfirmationFixture, "confirmation_replyToOtherRequest_ignored", "[entry]") {
   const auto before = state.store.confirmed;
   const RequestConfirmation request = AgeConfirmation();
-  Apply(ConfirmationReceived{request.requested_at + 1s, {0, 10}, 100ms});
+  Apply(ConfirmationReceived{request.requested_at + 1s, {0, 10}, 1, 100ms});
   CHECK(state.store.confirmed == before);
 }
 
--- /dev/null
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -0,0 +1,180 @@
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+#include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/readers.h"
+
+namespace snipeturn::entry {
+namespace {
+
+/// A host that has read the store's logs up to offset 100 in era 1, and what it learns when the
+/// store comes back from a copy that ends at offset 60.
+class StoreReturnFixture : public EntryFixture {
+ public:
+  static constexpr StoreEra kEra = 1;
+  static constexpr std::uint64_t kCopyEnd = 60;
+  static constexpr std::chrono::milliseconds kHold{5000};
+
+  StoreReturnFixture() {
+    state.store = StoreView();
+    Apply(StoreEraRead{kEra});
+    ConfirmAt({kEra, 100});
+  }
+
+  void ConfirmAt(StorePosition position) { Apply(StoreConfirmed{now, position}); }
+
+  void ReturnStore(StoreEra era = kEra + 1) { Apply(StoreEraRead{era}); }
+
+  UpstreamListed MakeRecord(const std::string& id, StorePosition position, std::int64_t count = 7) {
+    UpstreamListed record;
+    record.entry.id = id;
+    record.entry.service = "plain";
+    record.entry.zone = "zone-a";
+    record.entry.endpoint = {"10.0.1.1", 80};
+    record.entry.slots = 6;
+    record.entry.start_time_ms = 1000;
+    record.entry.sequence = count;
+    record.position = position;
+    return record;
+  }
+
+  /// Reads the list that the store has after its return.
+  void ReadList(const std::vector<UpstreamListed>& entries, StoreEra era = kEra + 1) {
+    Apply(UpstreamListRead{entries, {era, kCopyEnd}});
+  }
+
+  /// Sends a request while the keys are confirmed.
+  bool IsSent() {
+    state.store.confirmed = now;
+    ReceiveRequest("/book/a");
+    return !EffectsOf<Send>().empty();
+  }
+
+  UpstreamPhase Phase(const std::string& id) { return state.upstreams.at(id).phase; }
+
+  PeerLoadReceived MakeTable(StorePosition position, std::optional<std::int64_t> version = 1) {
+    PeerLoadReceived table;
+    table.host = "host-2";
+    table.zone = "zone-a";
+    table.configuration_position = position;
+    table.configuration_version = version;
+    table.configuration_age = 200ms;
+    return table;
+  }
+
+  /// Makes the other hosts the readers of the configuration.
+  void MakeOthersReaders() {
+    for (int number = 0; IsConfigurationReader(state, now); ++number) {
+      for (const char* peer : {"host-2", "host-3", "host-4"}) {
+        state.peers[peer].at = now;
+      }
+      state.options.host = "own-" + std::to_string(number);
+    }
+  }
+
+  /// Requests a confirmation of an old read from host-2 and returns the time of the request.
+  TimePoint AgeConfirmation(StorePosition table) {
+    MakeOthersReaders();
+    now += 2s;
+    for (const char* peer : {"host-2", "host-3", "host-4"}) {
+      state.peers[peer].at = now;
+    }
+    Apply(MakeTable(table));
+    REQUIRE(state.store.requested_at == now);
+    return now;
+  }
+};
+
+TEST_CASE("position_laterEra_newerThanAnyOffset", "[entry]") {
+  CHECK(StorePosition(1, 100) < StorePosition(2, 0));
+  CHECK(StorePosition(2, 3) < StorePosition(2, 4));
+  CHECK(StorePosition(1, 4) != StorePosition(2, 4));
+}
+
+// Guards against hosts that wait until the new log has passed the offset of the former one.
+TEST_CASE_METHOD(StoreReturnFixture,
+                 "peerTable_lowerOffsetOfNewEra_configurationIsRead",
+                 "[entry]") {
+  Apply(MakeTable({kEra + 1, 61}));
+  CHECK(EffectsOf<ReadConfiguration>().size() == 1);
+  Apply(MakeTable({kEra, 99}));
+  CHECK(EffectsOf<ReadConfiguration>().empty());
+}
+
+// Guards against keys that stay confirmed by a host that still reads the log before the return.
+TEST_CASE_METHOD(StoreReturnFixture, "confirmation_ofFormerEra_ignored", "[entry]") {
+  ReturnStore();
+  ConfirmAt({kEra + 1, kCopyEnd});
+  const TimePoint requested = AgeConfirmation({kEra + 1, kCopyEnd});
+  const auto before = state.store.confirmed;
+  Apply(ConfirmationReceived{requested, {kEra, 40}, 1, 100ms});
+  CHECK(state.store.confirmed == before);
+  Apply(ConfirmationReceived{requested, {kEra + 1, kCopyEnd}, 1, 100ms});
+  CHECK(state.store.confirmed == requested - 100ms);
+}
+
+// Guards against a host that misses what was written before its old offset in the new log.
+TEST_CASE_METHOD(StoreReturnFixture, "confirmation_ofNewEra_configurationIsRead", "[entry]") {
+  const TimePoint requested = AgeConfirmation({kEra, 100});
+  const auto before = state.store.confirmed;
+  Apply(ConfirmationReceived{requested, {kEra + 1, 61}, 2, 100ms});
+  CHECK(EffectsOf<ReadConfiguration>().size() == 1);
+  CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+  CHECK(state.store.confirmed == before);
+}
+
+// Guards against a host that refuses all keys, since only its peers reach the store that came back.
+TEST_CASE_METHOD(StoreReturnFixture,
+                 "confirmation_ofNewEraAtCutHost_countsForSameVersion",
+                 "[entry]") {
+  Apply(StoreReadFailed{"cut"});
+  const TimePoint requested = AgeConfirmation({kEra, 100});
+  const auto before = state.store.confirmed;
+  const std::int64_t version = GENERATE(0, 1, 2);
+  Apply(ConfirmationReceived{requested, {kEra + 1, 61}, version, 100ms});
+  if (version <= 1) {
+    CHECK(state.store.confirmed == requested - 100ms);
+  } else {
+    CHECK(state.store.confirmed == before);
+  }
+}
+
+// Guards against hosts that rely on a reader that hasn't seen the return.
+TEST_CASE_METHOD(StoreReturnFixture, "reader_ofFormerEra_notReliedOn", "[entry]") {
+  ReturnStore();
+  ConfirmAt({kEra + 1, kCopyEnd});
+  MakeOthersReaders();
+  PeerLoadReceived table = MakeTable({kEra, 100});
+  table.list_age = 100ms;
+  Apply(table);
+  CHECK(PlanConfigurationReads(state, now).interval < 1s);
+  CHECK_FALSE(IsUpstreamListFresh(state, now));
+  table.configuration_position = {kEra + 1, kCopyEnd};
+  Apply(table);
+  CHECK(PlanConfigurationReads(state, now).interval > 10s);
+  CHECK(IsUpstreamListFresh(state, now));
+}
+
+// Guards against a read that began before the return and counts after it.
+TEST_CASE_METHOD(StoreReturnFixture, "read_ofFormerEra_confirmsNothing", "[entry]") {
+  Apply(MakeTable({kEra + 1, 61}));
+  const auto before = state.store.confirmed;
+  now += 100ms;
+  ConfirmAt({kEra, 101});
+  Apply(ListConfirmed{now, {kEra, 101}});
+  CHECK(state.store.confirmed == before);
+  CHECK_FALSE(state.list_confirmed);
+}
+
+// Guards against a late response of the former store, which takes the new one's place.
+TEST_CASE_METHOD(StoreReturnFixture, "list_ofFormerEra_ignored", "[entry]") {
+  Apply(MakeRecord("plain-1", {kEra, 50}));
+  Apply(MakeTable({kEra + 1, 61}));
+  ReadList({}, kEra);
+  CHECK(Phase("plain-1") == UpstreamPhase::kServing);
+}
+
+}  // namespace
+}  // namespace snipeturn::entry
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -59,6 +59,7 @@
   load.is_stopping = true;
   load.last_update = 7;
   load.configuration_position = {2, 33};
+  load.configuration_version = 5;
   load.list_age = std::chrono::milliseconds(120);
   load.load["engine-1"] = {3, 9000, 2000};
   load.outcomes["engine-1"].failures = 2.5;
@@ -84,6 +85,7 @@
   CHECK(received->is_stopping);
   CHECK(received->last_update == 7);
   CHECK(received->configuration_position == entry::StorePosition(2, 33));
+  CHECK(received->configuration_version == 5);
   CHECK_FALSE(received->configuration_age);
   CHECK(received->list_age == std::chrono::milliseconds(120));
   CHECK(received->load.at("engine-1").tokens == 9000);
@@ -222,12 +224,13 @@
   CHECK(request->host == "host-1");
   CHECK(request->requested_at == requested_at);
   const auto reply_message = DecodePeerMessage(EncodeConfirmationReply(
-      "host-2", {"host-1", requested_at, 44, std::chrono::milliseconds(320)}));
+      "host-2", {"host-1", requested_at, {3, 44}, 9, std::chrono::milliseconds(320)}));
   REQUIRE(reply_message);
   const auto* reply = std::get_if<entry::ConfirmationReceived>(&reply_message->content);
   REQUIRE(reply != nullptr);
   CHECK(reply->requested_at == requested_at);
-  CHECK(reply->offset == 44);
+  CHECK(reply->position == entry::StorePosition(3, 44));
+  CHECK(reply->version == 9);
   CHECK(reply->age == std::chrono::milliseconds(320));
 }
 
