--- a/test/platform/topic_follower_test.cc
+++ b/test/platform/topic_follower_test.cc
@@ -370,5 +370,75 @@
   CHECK(connection->available() == 0);
 }
 
+// Guards against a change that is read 18 or 40 seconds late: a peer told of it while a read that
+// began before was in progress.
+TEST_CASE_METHOD(TopicFollowerFixture, "readRequest_duringRead_readAgain", "[platform]") {
+  ReadFirstSnapshot();
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+  interval = 60000ms;
+  follower.RequestRead();
+  RespondToNextCall(MakeLog(4, ""), "200 OK", EraField(1));
+  CHECK(RespondToNextCall(MakeLog(5, EncodeKeyedRecord("a", "1")), "200 OK", EraField(1))
+            .find("&from=4&") != std::string::npos);
+  REQUIRE(RunUntil([this] { return keys == "a"; }));
+  RunFor(400ms);
+  CHECK(connection->available() == 0);
+}
+
+// Guards against a change that is read late because a peer told of it a moment after a read.
+TEST_CASE_METHOD(TopicFollowerFixture, "readRequest_tooEarly_readWhenAllowed", "[platform]") {
+  RespondToNextCall(MakePage("", false));
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+  follower.RequestRead();
+  RunFor(100ms);
+  CHECK(connection->available() == 0);
+  CHECK(RespondToNextCall(MakeLog(5, EncodeKeyedRecord("a", "1"))).find("&from=4&") !=
+        std::string::npos);
+  CHECK(RunUntil([this] { return keys == "a"; }));
+}
+
+// Guards against a change that is read late because the read that it asked for failed.
+TEST_CASE_METHOD(TopicFollowerFixture, "readRequest_readFails_readAgain", "[platform]") {
+  RespondToNextCall(MakePage("", false));
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+  RunFor(250ms);
+  follower.RequestRead();
+  RespondToNextCall("{}", "503 Service Unavailable");
+  CHECK(RespondToNextCall(MakeLog(4, "")).find("&from=4&") != std::string::npos);
+}
+
+// Guards against calls without pause from a host that peers ask to read again and again.
+TEST_CASE_METHOD(TopicFollowerFixture, "readRequest_repeated_readOnceAnInterval", "[platform]") {
+  RespondToNextCall(MakePage("", false));
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+  const auto end = std::chrono::steady_clock::now() + 900ms;
+  int calls = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    follower.RequestRead();
+    RunFor(5ms);
+    if (connection->available() > 0) {
+      RespondToNextCall(MakeLog(4, ""));
+      ++calls;
+    }
+  }
+  CHECK(calls >= 2);
+  CHECK(calls <= 4);
+}
+
+// Guards against two reads at a time, which then go on side by side for good.
+TEST_CASE_METHOD(TopicFollowerFixture, "readRequest_whileWaiting_oneReadAtATime", "[platform]") {
+  RespondToNextCall(MakePage("", false));
+  REQUIRE(RunUntil([this] { return confirmed_reads == 1; }));
+  RunFor(260ms);
+  interval = 300ms;
+  follower.RequestRead();
+  ReadUntil(*connection, "\r\n\r\n");
+  RunFor(700ms);
+  acceptor.non_blocking(true);
+  boost::system::error_code error;
+  acceptor.accept(error);
+  CHECK(error == boost::asio::error::would_block);
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
