Don't confirm a configuration that is older than a peer's

What callers saw: a key that was withdrawn is served by a host that was cut off when it was withdrawn (CONFIG, fail_closed), once it has read the copy from which the store came back; a host that starts between the return and the operator's next write serves by the older version, as ready.

Cause: a read of the store counted as proof that nothing newer exists. A store that came back from an older copy lacks versions that it had acknowledged, and only the hosts that had read them know.

Hosts now tell their version with their position. While a peer's version is higher than the own one, a read confirms nothing, so keys fail closed and the host is not ready (826); it ends with the version, or after 30 s in case that it is never written again. A host that has just started, or has just learned of a return, asks up to six peers for their versions, and its reads count once they have replied, after 0.3 s at the latest.

Cost: a host that starts beside peers that are gone is ready 0.3 s later.

--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -36,6 +36,7 @@
   kEntryDispatch,
   kEntryCrashReview,
   kEntryCrashSync,
+  kEntryDeferredRead,
 };
 
 /// Identifies one timer, for example the deadline of request 7.
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -31,6 +31,7 @@
 inline constexpr LogEvent kStoreLost{821, "store_lost", LogLevel::kWarning};
 inline constexpr LogEvent kStoreRegained{822, "store_regained", LogLevel::kInfo};
 inline constexpr LogEvent kStoreReturned{823, "store_returned", LogLevel::kWarning};
+inline constexpr LogEvent kBehindPeers{826, "configuration_behind_peers", LogLevel::kWarning};
 inline constexpr LogEvent kConfirmationIgnored{827, "confirmation_ignored", LogLevel::kWarning};
 inline constexpr LogEvent kStoreEraRead{828, "store_era_read", LogLevel::kWarning};
 inline constexpr LogEvent kTopicEraChanged{829, "topic_era_changed", LogLevel::kWarning};
--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -67,6 +67,10 @@
   State& state = scope.state;
   StoreView& store = state.store;
   LearnEra(scope, event.position.era, "peer");
+  if (event.version) {
+    LearnPeerVersion(scope, *event.version);
+  }
+  CountVersionReply(scope, event.requested_at);
   // A reply to a request that this host sent before a restart or has replaced by a later one.
   if (!store.requested_at || *store.requested_at != event.requested_at) {
     return;
@@ -81,7 +85,7 @@
   }
   const bool is_covered = is_other_log ? has_version && event.position.era > store.position.era
                                        : !(event.position > store.position);
-  if (!is_covered) {
+  if (!is_covered || IsBehindPeers(scope)) {
     if (is_other_log) {
       Log(scope, log_events::kConfirmationIgnored,
           fmt::format("era={} offset={} peer_era={} peer_offset={} peer_version={}",
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -92,7 +92,8 @@
     RefuseArrival(scope, event, 503, "stopping", RetryAfterShutdown(scope));
     return;
   }
-  if (!state.desired) {
+  // A host that has just started waits for its peers' versions first.
+  if (!state.desired || !state.store.confirmed) {
     RefuseArrival(scope, event, 503, "no_configuration", kOtherHostRetryAfter);
     return;
   }
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -146,6 +146,9 @@
   if (!IsScheduled(state.timers, {TimerKind::kEntryCrashSync, 0})) {
     Schedule(state.timers, {TimerKind::kEntryCrashSync, 0}, scope.now);
   }
+  if (event.configuration_version) {
+    LearnPeerVersion(scope, *event.configuration_version);
+  }
   RequestConfirmationIfOld(scope);
   DispatchQueue(scope);
 }
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -51,6 +51,10 @@
     DispatchQueue(scope);
     return;
   }
+  if (key.kind == TimerKind::kEntryDeferredRead) {
+    ReviewDeferredRead(scope);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckShutdown(scope);
     return;
@@ -120,6 +124,7 @@
           HandleStoreFailure(scope, item);
         } else if constexpr (std::is_same_v<Item, HostsRead>) {
           AdoptHosts(scope, item);
+          AskListedPeers(scope, item);
         } else if constexpr (std::is_same_v<Item, PeerLoadReceived>) {
           HandlePeerLoad(scope, item);
         } else if constexpr (std::is_same_v<Item, CellLoadReceived>) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -34,6 +34,21 @@
   StorePosition position{};
   /// Highest era known, from the store's responses or from peers.
   std::optional<StoreEra> era;
+  /// Highest version that a peer has in force, and since when this host lacks a version that a peer
+  /// has.
+  std::int64_t peers_version{0};
+  std::optional<TimePoint> behind_since;
+  bool has_logged_behind{false};
+  /// This host has just started, or has just learned that the store came back from a copy: its
+  /// reads count once the peers have stated their versions.
+  bool awaits_versions{true};
+  /// Number of the peers that were asked and haven't replied; empty until they are asked.
+  std::optional<std::size_t> awaited_versions;
+  /// When the peers were asked.
+  TimePoint versions_requested_at{};
+  /// The last read that was kept back, and when it counts although peers haven't replied.
+  std::optional<StoreConfirmed> deferred_read;
+  std::optional<TimePoint> deferred_until;
   /// Time of the last failed read.
   std::optional<TimePoint> failed;
   bool is_reachable{false};
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -2,15 +2,68 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/store_updates.h"
 
 namespace snipeturn::entry::internal {
 namespace {
 
+/// A host that lacks a version that its peers have goes on without it after this time: the operator
+/// hasn't written it again, and no other host has it either once those that had it have restarted.
+constexpr std::chrono::milliseconds kMaxBehindPeers{30000};
+/// A host that has just heard of a new version has usually read it within this time.
+constexpr std::chrono::milliseconds kUsualDelay{1000};
+/// Time for which a host waits for its peers' versions. Some of the peers may be gone.
+constexpr std::chrono::milliseconds kMaxReadDelay{300};
+/// Number of peers that a host asks for their version. Some may be gone, and some may not have read
+/// the newest version.
+constexpr std::size_t kAskedPeers = 6;
+/// Peers that have sent no table for this long are not asked.
+constexpr std::chrono::milliseconds kPeerTimeout{4000};
+
 std::int64_t OwnVersion(const State& state) noexcept {
   return state.desired ? state.desired->version : 0;
 }
 
+/// Asks some hosts for their versions.
+/// @param hosts Names of hosts in their order.
+/// @param has_others There are hosts that can't be asked.
+void AskForVersions(EventScope& scope, const std::vector<std::string>& hosts, bool has_others) {
+  StoreView& store = scope.state.store;
+  store.versions_requested_at = scope.now;
+  std::size_t asked = 0;
+  // The names of a zone's hosts are alike, so that a step spreads the requests over the zones.
+  const std::size_t step = std::max<std::size_t>(1, hosts.size() / kAskedPeers);
+  for (std::size_t index = 0; index < hosts.size() && asked < kAskedPeers; index += step) {
+    scope.effects.push_back(RequestConfirmation{hosts[index], scope.now});
+    ++asked;
+  }
+  store.awaited_versions = has_others ? 1 : asked;
+  ReviewDeferredRead(scope);
+}
+
+/// Keeps the next reads back until the peers have stated their versions anew.
+void AwaitVersions(EventScope& scope) {
+  StoreView& store = scope.state.store;
+  store.awaits_versions = true;
+  store.awaited_versions.reset();
+  store.deferred_until.reset();
+  std::vector<std::string> hosts;
+  for (const auto& [host, peer] : scope.state.peers) {
+    if (scope.now - peer.at < kPeerTimeout) {
+      hosts.push_back(host);
+    }
+  }
+  AskForVersions(scope, hosts, false);
+}
+
 }  // namespace
 
 void LearnEra(EventScope& scope, StoreEra era, std::string_view source) {
@@ -29,6 +82,79 @@
                   known, source, store.position.offset, OwnVersion(scope.state),
                   scope.state.upstreams.size(), scope.state.evacuated_zones.size()));
   scope.effects.push_back(ReadSnapshots{});
+  AwaitVersions(scope);
+}
+
+void LearnPeerVersion(EventScope& scope, std::int64_t version) {
+  StoreView& store = scope.state.store;
+  store.peers_version = std::max(store.peers_version, version);
+}
+
+bool IsBehindPeers(EventScope& scope) {
+  StoreView& store = scope.state.store;
+  const std::int64_t own = OwnVersion(scope.state);
+  if (store.peers_version <= own) {
+    store.behind_since.reset();
+    store.has_logged_behind = false;
+    return false;
+  }
+  if (!store.behind_since) {
+    store.behind_since = scope.now;
+  }
+  const auto since = scope.now - *store.behind_since;
+  if (since >= kUsualDelay && !std::exchange(store.has_logged_behind, true)) {
+    Log(scope, log_events::kBehindPeers,
+        fmt::format("version={} peers_version={} era={} offset={} is_new_host={}", own,
+                    store.peers_version, store.era.value_or(0), store.position.offset,
+                    !store.confirmed));
+  }
+  return since < kMaxBehindPeers;
+}
+
+bool DeferRead(EventScope& scope, const StoreConfirmed& event) {
+  StoreView& store = scope.state.store;
+  if (!store.awaits_versions) {
+    return false;
+  }
+  if (!store.deferred_until) {
+    store.deferred_until = scope.now + kMaxReadDelay;
+    Schedule(scope.state.timers, {TimerKind::kEntryDeferredRead, 0}, *store.deferred_until);
+  }
+  if (store.awaited_versions == std::size_t{0} || scope.now >= *store.deferred_until) {
+    store.awaits_versions = false;
+    store.deferred_read.reset();
+    return false;
+  }
+  store.deferred_read = event;
+  return true;
+}
+
+void AskListedPeers(EventScope& scope, const HostsRead& event) {
+  const StoreView& store = scope.state.store;
+  if (!store.awaits_versions || store.awaited_versions) {
+    return;
+  }
+  std::vector<std::string> hosts;
+  for (const auto& [host, zone] : event.zones) {
+    hosts.push_back(host);
+  }
+  // Hosts that the store lists without a zone can't be asked; their tables may come in time.
+  AskForVersions(scope, hosts, event.hosts > 1 && hosts.empty());
+}
+
+void CountVersionReply(EventScope& scope, TimePoint requested_at) {
+  StoreView& store = scope.state.store;
+  if (store.awaits_versions && store.awaited_versions && *store.awaited_versions > 0 &&
+      requested_at == store.versions_requested_at) {
+    *store.awaited_versions -= 1;
+    ReviewDeferredRead(scope);
+  }
+}
+
+void ReviewDeferredRead(EventScope& scope) {
+  if (const auto read = std::exchange(scope.state.store.deferred_read, std::nullopt)) {
+    ConfirmStore(scope, *read);
+  }
 }
 
 }  // namespace snipeturn::entry::internal
--- a/src/snipeturn/entry/store_return.h
+++ b/src/snipeturn/entry/store_return.h
@@ -18,4 +18,27 @@
 /// @param source Where it comes from, for the log.
 void LearnEra(EventScope& scope, StoreEra era, std::string_view source);
 
+/// @brief Learns the version that a peer has in force.
+void LearnPeerVersion(EventScope& scope, std::int64_t version);
+
+/// @brief Tells whether the configuration that this host has read is older than a peer's, so that
+///     the store lacks a version that it had acknowledged. Ends after a while, in case that the
+///     version is never written again.
+[[nodiscard]] bool IsBehindPeers(EventScope& scope);
+
+/// @brief Keeps a read back until the peers have stated their versions, if this host has just
+/// started
+///     or has just learned that the store came back from a copy.
+/// @return False if the read counts at once.
+[[nodiscard]] bool DeferRead(EventScope& scope, const StoreConfirmed& event);
+
+/// @brief Asks the peers that the store lists for their versions, if this host has just started.
+void AskListedPeers(EventScope& scope, const HostsRead& event);
+
+/// @brief Notes a peer's reply to the request for its version.
+void CountVersionReply(EventScope& scope, TimePoint requested_at);
+
+/// @brief Counts the read that was kept back, if what it waits for has come.
+void ReviewDeferredRead(EventScope& scope);
+
 }  // namespace snipeturn::entry::internal
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -412,6 +412,9 @@
     store.is_reachable = true;
     Log(scope, log_events::kStoreRegained, "");
   }
+  if (DeferRead(scope, event) || IsBehindPeers(scope)) {
+    return;
+  }
   if (!store.confirmed || *store.confirmed < event.began) {
     store.confirmed = event.began;
   }
--- a/test/snipeturn/entry/signal_world.h
+++ b/test/snipeturn/entry/signal_world.h
@@ -87,6 +87,7 @@
       server.told_at.erase(number);
     }
     hosts_[static_cast<std::size_t>(number)] = std::move(host);
+    Apply(number, HostsRead{});
     Apply(number, StoreConfirmed{now});
     HostsRead read;
     read.hosts = static_cast<int>(hosts_.size());
--- a/test/snipeturn/entry/store_return_test.cc
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -20,6 +20,7 @@
   StoreReturnFixture() {
     state.store = StoreView();
     Apply(StoreEraRead{kEra});
+    Apply(HostsRead{});
     ConfirmAt({kEra, 100});
   }
 
@@ -176,5 +177,107 @@
   CHECK(Phase("plain-1") == UpstreamPhase::kServing);
 }
 
+// Guards against a withdrawn key that is served by a host that was cut off when it was withdrawn,
+// and reads the copy before it hears of its peers.
+TEST_CASE_METHOD(StoreReturnFixture, "read_afterReturn_countsWhenPeersHaveReplied", "[entry]") {
+  Apply(MakeTable({kEra, 100}));
+  ReturnStore();
+  const auto requests = EffectsOf<RequestConfirmation>();
+  REQUIRE(requests.size() == 1);
+  const auto before = state.store.confirmed;
+  now += 10ms;
+  ConfirmAt({kEra + 1, kCopyEnd});
+  CHECK(state.store.confirmed == before);
+  const TimePoint read = now;
+  now += 10ms;
+  Apply(ConfirmationReceived{requests[0].requested_at, {kEra, 100}, 1, 100ms});
+  CHECK(state.store.confirmed == read);
+}
+
+// Guards against a withdrawn key that is served, as only the peers have read of it.
+TEST_CASE_METHOD(StoreReturnFixture, "read_olderThanPeersVersion_confirmsNothing", "[entry]") {
+  ReturnStore();
+  Apply(MakeTable({kEra, 100}, 2));
+  const auto before = state.store.confirmed;
+  now += 1s;
+  ConfirmAt({kEra + 1, kCopyEnd});
+  CHECK(state.store.confirmed == before);
+  SECTION("written again by the operator") {
+    desired.version = 2;
+    Apply(DesiredStateRead{desired});
+    ConfirmAt({kEra + 1, 61});
+    CHECK(state.store.confirmed == now);
+  }
+  SECTION("not written again") {
+    now += 31s;
+    ConfirmAt({kEra + 1, kCopyEnd});
+    CHECK(state.store.confirmed == now);
+  }
+}
+
+/// A host that has just started and has read the configuration.
+class NewHostFixture : public EntryFixture {
+ public:
+  NewHostFixture() {
+    state = State();
+    state.options.host = "host-1";
+    state.options.zone = "zone-a";
+    Apply(StoreEraRead{2});
+  }
+
+  void ReadConfiguration() {
+    Apply(DesiredStateRead{desired});
+    Apply(StoreConfirmed{now, {2, 10}});
+  }
+
+  [[nodiscard]] bool IsInService() const { return IsReady(state, now); }
+};
+
+// Guards against a host that starts between the return and the rewriting and serves by the copy.
+TEST_CASE_METHOD(NewHostFixture, "newHost_peerHasNewerVersion_doesNotServe", "[entry]") {
+  Apply(HostsRead{3, {{"host-2", "zone-a"}, {"host-3", "zone-b"}}});
+  const auto requests = EffectsOf<RequestConfirmation>();
+  REQUIRE(requests.size() == 2);
+  ReadConfiguration();
+  CHECK_FALSE(IsInService());
+  Apply(ConfirmationReceived{requests[0].requested_at, {2, 10}, 1, 100ms});
+  CHECK_FALSE(IsInService());  // The other peer may know more.
+  Apply(ConfirmationReceived{requests[0].requested_at, {1, 90}, 2, 100ms});
+  AdvanceTime(2s);
+  CHECK_FALSE(IsInService());
+  ReceiveRequest("/book/a");
+  const auto refusals = EffectsOf<Refuse>();
+  REQUIRE(refusals.size() == 1);
+  CHECK(refusals[0].status == 503);
+  desired.version = 2;
+  ReadConfiguration();
+  CHECK(IsInService());
+}
+
+TEST_CASE_METHOD(NewHostFixture, "newHost_peerHasSameVersion_servesAtOnce", "[entry]") {
+  Apply(HostsRead{2, {{"host-2", "zone-a"}}});
+  ReadConfiguration();
+  CHECK_FALSE(IsInService());
+  Apply(ConfirmationReceived{now, {2, 10}, 1, 100ms});
+  CHECK(IsInService());
+}
+
+TEST_CASE_METHOD(NewHostFixture, "newHost_noPeers_servesAtOnce", "[entry]") {
+  ReadConfiguration();
+  CHECK_FALSE(IsInService());
+  Apply(HostsRead{});
+  CHECK(IsInService());
+}
+
+// Guards against hosts that wait for one another when all have just started.
+TEST_CASE_METHOD(NewHostFixture, "newHost_silentPeers_servesAfterDelay", "[entry]") {
+  ReadConfiguration();
+  Apply(HostsRead{2, {{"host-2", "zone-a"}}});
+  AdvanceTime(250ms);
+  CHECK_FALSE(IsInService());
+  AdvanceTime(100ms);
+  CHECK(IsInService());
+}
+
 }  // namespace
 }  // namespace snipeturn::entry
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -52,6 +52,7 @@
     route.services = {{"engines", 1}};
     desired.routes.push_back(route);
     runtime.Apply(entry::DesiredStateRead{desired});
+    runtime.Apply(entry::HostsRead{});
     runtime.Apply(entry::StoreConfirmed{BootTime()});
     AddUpstream("plain-1", "plain", endpoint());
     AddUpstream("engine-1", "engines", endpoint());
