Let no older copy of the upstream list replace what is known

Cause: each record of the new log counted as newer than all of the former one. The first list that is read after a return shows the copy, so the lack of an entry was a removal, and an entry that had been removed was a new one, also when a host that knows nothing else told it.

For 5 s from the return, records before the end of the first list that this host has read are taken for those of the copy. They don't bring back an upstream unless the server has written since, by its own start and count; upstreams that the copy lacks stay in service after the others, and what a peer had read before the return counts against the copy. Then the list is read once more and counts (824). A record with a lower count of the same server is outdated for upstreams that were removed, too.

--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -36,6 +36,7 @@
   kEntryDispatch,
   kEntryCrashReview,
   kEntryCrashSync,
+  kEntryCopyHold,
   kEntryDeferredRead,
 };
 
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -31,6 +31,8 @@
 inline constexpr LogEvent kStoreLost{821, "store_lost", LogLevel::kWarning};
 inline constexpr LogEvent kStoreRegained{822, "store_regained", LogLevel::kInfo};
 inline constexpr LogEvent kStoreReturned{823, "store_returned", LogLevel::kWarning};
+inline constexpr LogEvent kCopyHoldEnded{824, "store_copy_hold_ended", LogLevel::kInfo};
+inline constexpr LogEvent kOlderRecordIgnored{825, "older_record_ignored", LogLevel::kWarning};
 inline constexpr LogEvent kBehindPeers{826, "configuration_behind_peers", LogLevel::kWarning};
 inline constexpr LogEvent kConfirmationIgnored{827, "confirmation_ignored", LogLevel::kWarning};
 inline constexpr LogEvent kStoreEraRead{828, "store_era_read", LogLevel::kWarning};
@@ -71,6 +73,7 @@
 inline constexpr CounterName kUpstreamSignals{"snipeturn_upstream_signals_total", "signal"};
 inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
 inline constexpr CounterName kStoreReturns{"snipeturn_store_returns_total", "source"};
+inline constexpr CounterName kCopyIgnored{"snipeturn_store_copy_ignored_total", "kind"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -51,6 +51,10 @@
     DispatchQueue(scope);
     return;
   }
+  if (key.kind == TimerKind::kEntryCopyHold) {
+    EndCopyHold(scope);
+    return;
+  }
   if (key.kind == TimerKind::kEntryDeferredRead) {
     ReviewDeferredRead(scope);
     return;
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -34,6 +34,12 @@
   StorePosition position{};
   /// Highest era known, from the store's responses or from peers.
   std::optional<StoreEra> era;
+  /// Until then the store may list less than what it has acknowledged: this host has learned that
+  /// it came back from an older copy. Set by its return only.
+  std::optional<TimePoint> copy_held_until;
+  /// End of this host's first read of the upstream list in the present era. Records before it may
+  /// be those of the copy.
+  std::optional<StorePosition> copy_list_end;
   /// Highest version that a peer has in force, and since when this host lacks a version that a peer
   /// has.
   std::int64_t peers_version{0};
@@ -147,8 +153,14 @@
   std::deque<RecentUpdate> recent_updates;
   /// Start of the last read of the upstream list.
   std::optional<TimePoint> list_confirmed;
-  /// Position of the newest known record of each upstream, including removed ones.
-  std::map<UpstreamId, StorePosition> list_positions;
+  /// The newest known record of each upstream, including removed ones.
+  struct ListedRecord {
+    StorePosition position{};
+    /// The server's own order of its records.
+    std::int64_t start_time_ms{0};
+    std::int64_t sequence{0};
+  };
+  std::map<UpstreamId, ListedRecord> list_records;
   std::map<std::string, PeerLoad> peers;
   /// This host's cell; empty in a small deployment, in which all hosts broadcast to one another.
   std::string cell;
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -12,9 +12,14 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/store_updates.h"
 
-namespace snipeturn::entry::internal {
+namespace snipeturn::entry {
+namespace internal {
 namespace {
 
+/// Time for which the copy takes nothing out of force. By then the servers have written their
+/// entries again, and the store has dropped those of servers that are silent, which takes three of
+/// their heartbeats.
+constexpr std::chrono::milliseconds kCopyHold{5000};
 /// A host that lacks a version that its peers have goes on without it after this time: the operator
 /// hasn't written it again, and no other host has it either once those that had it have restarted.
 constexpr std::chrono::milliseconds kMaxBehindPeers{30000};
@@ -81,10 +86,22 @@
       fmt::format("era={} before={} source={} offset={} version={} upstreams={} evacuated={}", era,
                   known, source, store.position.offset, OwnVersion(scope.state),
                   scope.state.upstreams.size(), scope.state.evacuated_zones.size()));
+  store.copy_held_until = scope.now + kCopyHold;
+  store.copy_list_end.reset();
+  Schedule(scope.state.timers, {TimerKind::kEntryCopyHold, 0}, *store.copy_held_until);
   scope.effects.push_back(ReadSnapshots{});
   AwaitVersions(scope);
 }
 
+void EndCopyHold(EventScope& scope) {
+  StoreView& store = scope.state.store;
+  store.copy_held_until.reset();
+  store.copy_list_end.reset();
+  Log(scope, log_events::kCopyHoldEnded,
+      fmt::format("era={} version={}", store.era.value_or(0), OwnVersion(scope.state)));
+  scope.effects.push_back(ReadSnapshots{});
+}
+
 void LearnPeerVersion(EventScope& scope, std::int64_t version) {
   StoreView& store = scope.state.store;
   store.peers_version = std::max(store.peers_version, version);
@@ -157,4 +174,16 @@
   }
 }
 
-}  // namespace snipeturn::entry::internal
+}  // namespace internal
+
+bool IsCopyHeld(const State& state, TimePoint now) noexcept {
+  return state.store.copy_held_until && now < *state.store.copy_held_until;
+}
+
+bool MayBeOfCopy(const State& state, const StorePosition& position, TimePoint now) noexcept {
+  const StoreView& store = state.store;
+  return IsCopyHeld(state, now) && store.era && position.era == *store.era &&
+         (!store.copy_list_end || position < *store.copy_list_end);
+}
+
+}  // namespace snipeturn::entry
--- a/src/snipeturn/entry/store_return.h
+++ b/src/snipeturn/entry/store_return.h
@@ -7,17 +7,35 @@
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/event_scope.h"
 
+namespace snipeturn::entry {
+
+/// @brief Tells whether the store may list less than it has acknowledged, as it came back from an
+///     older copy a moment ago.
+[[nodiscard]] bool IsCopyHeld(const State& state, TimePoint now) noexcept;
+
+/// @brief Tells whether a record of the upstream list may be one of the copy from which the store
+///     came back. What was written again before this host's first read counts as such, too.
+[[nodiscard]] bool MayBeOfCopy(const State& state,
+                               const StorePosition& position,
+                               TimePoint now) noexcept;
+
+}  // namespace snipeturn::entry
+
 namespace snipeturn::entry::internal {
 
 /// @brief Learns the store's era from a response of the store or from a peer.
 ///
-/// A higher era than the one known means that the store came back from an older copy: everything
-/// is read anew.
+/// A higher era than the one known means that the store came back from an older copy: everything is
+/// read anew, and for a while the copy takes nothing out of force that is newer here.
 /// @param scope The event.
 /// @param era The era; 0 if it isn't known.
 /// @param source Where it comes from, for the log.
 void LearnEra(EventScope& scope, StoreEra era, std::string_view source);
 
+/// @brief Ends the time in which the copy takes nothing out of force: the operator and the servers
+///     have written again, so what the store lists is read and counts.
+void EndCopyHold(EventScope& scope);
+
 /// @brief Learns the version that a peer has in force.
 void LearnPeerVersion(EventScope& scope, std::int64_t version);
 
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -39,23 +39,25 @@
 /// Time between two reads of an engine's report: an engine that is being reclaimed has about two
 /// seconds left.
 constexpr std::chrono::milliseconds kReportInterval{300};
-/// Positions of removed upstreams are kept, so that a late message about one doesn't add it again.
-/// They are dropped when the table of positions exceeds this size.
-constexpr std::size_t kMaxPositions = 4096;
+/// Records of removed upstreams are kept, so that a late message about one doesn't add it again.
+/// They are dropped when the table of records exceeds this size.
+constexpr std::size_t kMaxRecords = 4096;
 
 bool IsStoreOutage(const EventScope& scope) {
   const StoreView& store = scope.state.store;
   return store.failed && scope.now - *store.failed < kOutageWindow;
 }
 
-/// Tells whether an entry is older than the known one: a report of this incarnation or an earlier
-/// one that was delayed on its way to the store.
-bool IsOutdated(const UpstreamEntry& known, const UpstreamEntry& entry) noexcept {
-  if (known.start_time_ms == 0 || entry.start_time_ms == 0) {
-    return false;
-  }
-  return std::tie(entry.start_time_ms, entry.sequence) <
-         std::tie(known.start_time_ms, known.sequence);
+/// Tells whether a server wrote the first record before the second one, by its own count. A record
+/// may be delayed on its way to the store, or come from a copy of it.
+/// @tparam First, Second Records with the start and the count of the server: entries of the list,
+/// or
+///     what is kept of them.
+template <typename First, typename Second>
+bool IsWrittenBefore(const First& first, const Second& second) noexcept {
+  return first.start_time_ms != 0 && second.start_time_ms != 0 &&
+         std::tie(first.start_time_ms, first.sequence) <
+             std::tie(second.start_time_ms, second.sequence);
 }
 
 /// Estimates the bytes of a name in a datagram, where other bytes than ASCII take up to six.
@@ -102,23 +104,78 @@
   state.recent_updates.push_back({scope.now, {++state.last_update, std::move(notice)}});
 }
 
-/// Records the position of a record; returns false when a newer record of the upstream is known.
-bool AcceptPosition(EventScope& scope, const UpstreamId& id, const StorePosition& position) {
-  auto& positions = scope.state.list_positions;
-  if (positions.size() > kMaxPositions) {
-    for (auto entry = positions.begin(); entry != positions.end();) {
-      entry =
-          scope.state.upstreams.count(entry->first) > 0 ? std::next(entry) : positions.erase(entry);
+/// Drops the records of removed upstreams when the table gets too large.
+void LimitListRecords(State& state) {
+  auto& records = state.list_records;
+  if (records.size() <= kMaxRecords) {
+    return;
+  }
+  for (auto record = records.begin(); record != records.end();) {
+    record = state.upstreams.count(record->first) > 0 ? std::next(record) : records.erase(record);
+  }
+}
+
+/// Notes that a record of the copy from which the store came back was not taken over what is known.
+void IgnoreOlderRecord(EventScope& scope, std::string_view kind, const std::string& name) {
+  IncrementCounter(scope, kCopyIgnored, kind);
+  Log(scope, log_events::kOlderRecordIgnored,
+      fmt::format("kind={} name={} era={}", kind, name, scope.state.store.era.value_or(0)));
+}
+
+/// Records an entry of the list; returns false when a newer record of the upstream is known.
+bool AcceptEntry(EventScope& scope, const UpstreamListed& event) {
+  State& state = scope.state;
+  LimitListRecords(state);
+  const UpstreamEntry& entry = event.entry;
+  const auto known = state.list_records.find(entry.id);
+  State::ListedRecord record{event.position, entry.start_time_ms, entry.sequence};
+  if (MayBeOfCopy(state, event.position, scope.now)) {
+    if (known != state.list_records.end() && !IsWrittenBefore(known->second, entry)) {
+      const auto upstream = state.upstreams.find(entry.id);
+      if (upstream == state.upstreams.end() || upstream->second.phase != UpstreamPhase::kServing) {
+        IgnoreOlderRecord(scope, "entry", entry.id);
+      }
+      return false;
     }
+    // Gives way to what a peer has read of the upstream before the store came back.
+    record.position = StorePosition();
+  } else if (known != state.list_records.end() &&
+             (known->second.position > event.position || IsWrittenBefore(entry, known->second))) {
+    return false;
   }
-  const auto found = positions.find(id);
-  if (found != positions.end() && found->second > position) {
+  state.list_records[entry.id] = record;
+  return true;
+}
+
+/// Records the removal of an entry; returns false when a newer record of the upstream is known.
+bool AcceptRemoval(EventScope& scope, const UpstreamUnlisted& event) {
+  State& state = scope.state;
+  LimitListRecords(state);
+  const auto known = state.list_records.find(event.id);
+  if (MayBeOfCopy(state, event.position, scope.now) ||
+      (known != state.list_records.end() && known->second.position > event.position)) {
     return false;
   }
-  positions[id] = position;
+  // The last entry stays known: a copy of it is not taken for a new one.
+  state.list_records[event.id].position = event.position;
   return true;
 }
 
+/// Marks an upstream that the copy from which the store came back doesn't list. It may have started
+/// later, and writes its entry again.
+void MissFromCopy(EventScope& scope, Upstream& upstream) {
+  if (upstream.phase != UpstreamPhase::kServing) {
+    return;
+  }
+  upstream.phase = UpstreamPhase::kMissing;
+  upstream.phase_since = scope.now;
+  upstream.is_missing_from_copy = true;
+  Log(scope, log_events::kUpstreamLapsed,
+      fmt::format("upstream={} service={} reason=not_in_copy", upstream.entry.id,
+                  upstream.entry.service));
+  ScheduleUpstreamReview(scope);
+}
+
 std::set<UpstreamId> UpstreamsInUse(const State& state) {
   std::set<UpstreamId> used;
   for (const auto& [key, request] : state.requests) {
@@ -211,13 +268,10 @@
 void ListUpstream(EventScope& scope, const UpstreamListed& event) {
   const UpstreamEntry& entry = event.entry;
   State& state = scope.state;
-  if (!AcceptPosition(scope, entry.id, event.position)) {
+  if (!AcceptEntry(scope, event)) {
     return;
   }
   auto found = state.upstreams.find(entry.id);
-  if (found != state.upstreams.end() && IsOutdated(found->second.entry, entry)) {
-    return;
-  }
   const bool is_new_incarnation =
       found == state.upstreams.end() ||
       (found->second.entry.start_time_ms != entry.start_time_ms && entry.start_time_ms != 0);
@@ -245,10 +299,13 @@
   }
   const bool is_update = is_new_incarnation || upstream.entry.leaving != entry.leaving ||
                          upstream.phase == UpstreamPhase::kMissing;
-  if (is_update && event.source == UpdateSource::kStore) {
+  // Each host reads the copy itself, and knows which of its records are older.
+  if (is_update && event.source == UpdateSource::kStore &&
+      !MayBeOfCopy(state, event.position, scope.now)) {
     QueueUpdate(scope, event);
   }
   upstream.entry = entry;
+  upstream.is_missing_from_copy = false;
   if (entry.cold_left.count() > 0) {
     upstream.cold_until = scope.now + entry.cold_left;
   }
@@ -270,7 +327,7 @@
 }
 
 void UnlistUpstream(EventScope& scope, const UpstreamUnlisted& event) {
-  if (!AcceptPosition(scope, event.id, event.position)) {
+  if (!AcceptRemoval(scope, event)) {
     return;
   }
   const auto found = scope.state.upstreams.find(event.id);
@@ -283,6 +340,7 @@
     QueueUpdate(scope, update);
   }
   Upstream& upstream = found->second;
+  upstream.is_missing_from_copy = false;
   if (!update.may_have_expired) {
     upstream.was_unlisted = true;
     StartLeaving(scope, upstream, "entry_removed");
@@ -298,7 +356,9 @@
 }
 
 void AdoptUpstreamList(EventScope& scope, const UpstreamListRead& event) {
-  if (event.end.era < scope.state.store.era.value_or(0)) {
+  State& state = scope.state;
+  StoreView& store = state.store;
+  if (event.end.era < store.era.value_or(0)) {
     return;  // A peer has told meanwhile that the store came back from a copy.
   }
   std::set<UpstreamId> listed;
@@ -307,13 +367,23 @@
     ListUpstream(scope, item);
   }
   std::vector<UpstreamId> missing;
-  for (const auto& [id, upstream] : scope.state.upstreams) {
+  for (const auto& [id, upstream] : state.upstreams) {
     if (listed.count(id) == 0) {
       missing.push_back(id);
     }
   }
   for (const UpstreamId& id : missing) {
-    UnlistUpstream(scope, {id, event.end, UpdateSource::kStore});
+    const StorePosition known = state.list_records[id].position;
+    const bool is_written_again =
+        known.era == event.end.era && !MayBeOfCopy(state, known, scope.now);
+    if (IsCopyHeld(state, scope.now) && !is_written_again) {
+      MissFromCopy(scope, state.upstreams.at(id));
+    } else {
+      UnlistUpstream(scope, {id, event.end, UpdateSource::kStore});
+    }
+  }
+  if (!store.copy_list_end && IsCopyHeld(state, scope.now)) {
+    store.copy_list_end = event.end;
   }
 }
 
@@ -366,7 +436,8 @@
     if (upstream.phase == UpstreamPhase::kMissing) {
       // The list can't be read while the store is unreachable; the grace period starts when it is
       // back.
-      if (!state.store.is_reachable) {
+      const bool is_copy_held = upstream.is_missing_from_copy && IsCopyHeld(state, scope.now);
+      if (!state.store.is_reachable || is_copy_held) {
         upstream.phase_since = scope.now;
       } else if (scope.now - upstream.phase_since >= kMissingEntryGrace) {
         StartLeaving(scope, upstream, "entry_not_back");
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -66,6 +66,8 @@
   TimePoint known_since{};
   UpstreamPhase phase{UpstreamPhase::kServing};
   TimePoint phase_since{};
+  /// Its entry is missing only from the copy from which the store came back.
+  bool is_missing_from_copy{false};
   /// It is leaving because its entry was removed; returns to service if the entry reappears.
   bool was_unlisted{false};
   TimePoint cold_until{};
--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -267,6 +267,7 @@
       case TimerKind::kEntryDispatch:
       case TimerKind::kEntryCrashReview:
       case TimerKind::kEntryCrashSync:
+    case TimerKind::kEntryCopyHold:
     case TimerKind::kEntryDeferredRead:
         assert(false && "timer belongs to the reducer of the entry path");
         break;
--- a/test/snipeturn/entry/store_return_test.cc
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -169,6 +169,125 @@
   CHECK_FALSE(state.list_confirmed);
 }
 
+// Guards against a server that is used again only because the copy still lists it.
+TEST_CASE_METHOD(StoreReturnFixture, "upstream_removedButInCopy_staysRemoved", "[entry]") {
+  const UpstreamListed record = MakeRecord("plain-1", {kEra, 50});
+  Apply(record);
+  Apply(UpstreamUnlisted{"plain-1", {kEra, 80}, UpdateSource::kStore, false});
+  const bool is_forgotten = GENERATE(false, true);
+  if (is_forgotten) {
+    AdvanceTime(6s);
+    REQUIRE(state.upstreams.empty());
+  }
+  ReturnStore();
+  UpstreamListed copy = record;
+  copy.position.era = kEra + 1;
+  ReadList({copy});
+  CHECK_FALSE(IsSent());
+  SECTION("written again by the server") {
+    Apply(MakeRecord("plain-1", {kEra + 1, kCopyEnd}, 8));
+    CHECK(IsSent());
+  }
+  SECTION("written again before this host's first read") {
+    ReadList({MakeRecord("plain-1", {kEra + 1, 59}, 8)});
+    CHECK(IsSent());
+  }
+  SECTION("still listed when the hold has ended") {
+    AdvanceTime(kHold);
+    CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+    ReadList({copy});
+    CHECK(IsSent());
+  }
+}
+
+// Guards against the same by way of a host that knows only the copy.
+TEST_CASE_METHOD(StoreReturnFixture, "upstream_copyToldByPeer_staysRemoved", "[entry]") {
+  UpstreamListed record = MakeRecord("plain-1", {kEra, 50});
+  Apply(record);
+  Apply(UpstreamUnlisted{"plain-1", {kEra, 80}, UpdateSource::kStore, false});
+  PeerLoadReceived table = MakeTable({kEra, 100});
+  Apply(table);
+  record.position.era = kEra + 1;
+  record.source = UpdateSource::kPeer;
+  table.configuration_position = {kEra + 1, kCopyEnd};
+  table.last_update = 1;
+  table.recent_updates = {{1, record}};
+  Apply(table);
+  CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+  CHECK_FALSE(IsSent());
+}
+
+// Guards against a server that is dropped only because the copy is older than its start.
+TEST_CASE_METHOD(StoreReturnFixture, "upstream_missingFromCopy_staysInService", "[entry]") {
+  Apply(MakeRecord("plain-1", {kEra, 80}));
+  ReturnStore();
+  ReadList({});
+  AdvanceTime(4s);
+  CHECK(IsSent());
+  SECTION("written again at a lower offset") {
+    Apply(MakeRecord("plain-1", {kEra + 1, kCopyEnd}, 8));
+    AdvanceTime(4s);
+    CHECK(IsSent());
+    CHECK(Phase("plain-1") == UpstreamPhase::kServing);
+  }
+  SECTION("not listed when the hold has ended") {
+    AdvanceTime(1s);
+    ReadList({});
+    CHECK_FALSE(IsSent());
+    // It may come back later all the same.
+    Apply(MakeRecord("plain-1", {kEra + 1, kCopyEnd}, 8));
+    CHECK(IsSent());
+  }
+  SECTION("the store is away when the hold ends") {
+    Apply(StoreReadFailed{"down"});
+    AdvanceTime(4s);
+    CHECK(IsSent());
+  }
+}
+
+// Guards against a leaving server that gets work again, as the copy doesn't know that it leaves.
+TEST_CASE_METHOD(StoreReturnFixture, "upstream_leavingButReadyInCopy_staysLeaving", "[entry]") {
+  UpstreamListed record = MakeRecord("plain-1", {kEra, 50});
+  Apply(record);
+  UpstreamListed leaving = MakeRecord("plain-1", {kEra, 80}, 8);
+  leaving.entry.leaving = true;
+  Apply(leaving);
+  ReturnStore();
+  record.position.era = kEra + 1;
+  ReadList({record});
+  AdvanceTime(kHold);
+  ReadList({record});
+  CHECK_FALSE(IsSent());
+}
+
+// Guards against a host that drops what a peer read before the return, and serves by the copy.
+TEST_CASE_METHOD(StoreReturnFixture, "upstream_peerReadRemovalBeforeReturn_leaves", "[entry]") {
+  ReturnStore();
+  ReadList({MakeRecord("plain-1", {kEra + 1, 50})});
+  CHECK(IsSent());
+  PeerLoadReceived table = MakeTable({kEra, 100});
+  Apply(table);
+  table.last_update = 1;
+  table.recent_updates = {{1, UpstreamUnlisted{"plain-1", {kEra, 80}, UpdateSource::kPeer, false}}};
+  Apply(table);
+  CHECK_FALSE(IsSent());
+}
+
+// Guards against a hold that ends while the second copy is new.
+TEST_CASE_METHOD(StoreReturnFixture, "return_twice_holdStartsAnew", "[entry]") {
+  Apply(MakeRecord("plain-1", {kEra, 80}));
+  ReturnStore();
+  ReadList({});
+  AdvanceTime(4s);
+  ReturnStore(kEra + 2);
+  CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+  ReadList({}, kEra + 2);
+  AdvanceTime(4s);
+  CHECK(IsSent());
+  AdvanceTime(1s);
+  CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+}
+
 // Guards against a late response of the former store, which takes the new one's place.
 TEST_CASE_METHOD(StoreReturnFixture, "list_ofFormerEra_ignored", "[entry]") {
   Apply(MakeRecord("plain-1", {kEra, 50}));
