Keep evacuations that the store's copy doesn't know

What callers saw (process test): after the store came back from an older copy, an evacuated zone got work again, although the operator hadn't ended the evacuation (EVAC).

After a return it shows the copy, which lacks what was written since.

What is known of a zone's evacuation stays in force until the operator writes of that zone again, for 30 s at most: operators write by hand. An evacuation that had ended is recognised in the copy by its offset, which the copy shares with the former log; one that the operator began after the return counts.

--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -134,6 +134,11 @@
   Options options;
   std::optional<DesiredState> desired;
   std::set<std::string> evacuated_zones;
+  /// Position of the last record that evacuated each zone, kept when the evacuation has ended.
+  std::map<std::string, StorePosition> evacuation_positions;
+  /// Zones whose evacuation, or its end, the copy from which the store came back doesn't know, and
+  /// until when it is kept in force.
+  std::map<std::string, TimePoint> held_evacuations;
   StoreView store;
   int hosts{1};
   UpstreamTable upstreams;
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -23,6 +23,8 @@
 /// A host that lacks a version that its peers have goes on without it after this time: the operator
 /// hasn't written it again, and no other host has it either once those that had it have restarted.
 constexpr std::chrono::milliseconds kMaxBehindPeers{30000};
+/// Time for which the copy changes no evacuation. Operators write by hand, later than the servers.
+constexpr std::chrono::milliseconds kOperatorHold{30000};
 /// A host that has just heard of a new version has usually read it within this time.
 constexpr std::chrono::milliseconds kUsualDelay{1000};
 /// Time for which a host waits for its peers' versions. Some of the peers may be gone.
@@ -102,6 +104,21 @@
   scope.effects.push_back(ReadSnapshots{});
 }
 
+bool HoldsEvacuation(EventScope& scope, const std::string& zone) {
+  State& state = scope.state;
+  if (IsCopyHeld(state, scope.now)) {
+    state.held_evacuations[zone] = scope.now + kOperatorHold;
+    return true;
+  }
+  const auto held = state.held_evacuations.find(zone);
+  if (held == state.held_evacuations.end() || scope.now >= held->second) {
+    return false;
+  }
+  // What the store lists is read anew when the hold ends.
+  Schedule(state.timers, {TimerKind::kEntryCopyHold, 0}, held->second);
+  return true;
+}
+
 void LearnPeerVersion(EventScope& scope, std::int64_t version) {
   StoreView& store = scope.state.store;
   store.peers_version = std::max(store.peers_version, version);
--- a/src/snipeturn/entry/store_return.h
+++ b/src/snipeturn/entry/store_return.h
@@ -36,6 +36,10 @@
 ///     have written again, so what the store lists is read and counts.
 void EndCopyHold(EventScope& scope);
 
+/// @brief Tells whether what this host knows of a zone's evacuation stays in force against what the
+///     store lists. Begins with the store's return, and ends after a while.
+[[nodiscard]] bool HoldsEvacuation(EventScope& scope, const std::string& zone);
+
 /// @brief Learns the version that a peer has in force.
 void LearnPeerVersion(EventScope& scope, std::int64_t version);
 
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -231,6 +231,10 @@
 
 void AdoptEvacuation(EventScope& scope, const EvacuationRead& event) {
   const bool was_evacuated = scope.state.evacuated_zones.count(event.zone) > 0;
+  scope.state.held_evacuations.erase(event.zone);
+  if (event.evacuated) {
+    scope.state.evacuation_positions[event.zone] = event.position;
+  }
   if (was_evacuated == event.evacuated) {
     return;
   }
@@ -255,13 +259,27 @@
 }
 
 void AdoptEvacuations(EventScope& scope, const EvacuationsRead& event) {
-  std::set<std::string> ended = scope.state.evacuated_zones;
+  State& state = scope.state;
+  std::set<std::string> ended = state.evacuated_zones;
   for (const EvacuationRead& evacuation : event.evacuations) {
     ended.erase(evacuation.zone);
-    AdoptEvacuation(scope, evacuation);
+    // The copy holds the records of the former log at their offsets.
+    const auto known = state.evacuation_positions.find(evacuation.zone);
+    const bool has_ended = state.evacuated_zones.count(evacuation.zone) == 0 &&
+                           known != state.evacuation_positions.end() &&
+                           known->second.offset == evacuation.position.offset;
+    if (has_ended && HoldsEvacuation(scope, evacuation.zone)) {
+      IgnoreOlderRecord(scope, "evacuation", evacuation.zone);
+    } else {
+      AdoptEvacuation(scope, evacuation);
+    }
   }
   for (const std::string& zone : ended) {
-    AdoptEvacuation(scope, {zone, false, {}});
+    if (HoldsEvacuation(scope, zone)) {
+      IgnoreOlderRecord(scope, "evacuation_missing", zone);
+    } else {
+      AdoptEvacuation(scope, {zone, false, {}});
+    }
   }
 }
 
--- a/test/snipeturn/entry/store_return_test.cc
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -296,6 +296,47 @@
   CHECK(Phase("plain-1") == UpstreamPhase::kServing);
 }
 
+// Guards against a zone that is used again, as the copy doesn't know that it was evacuated.
+TEST_CASE_METHOD(StoreReturnFixture, "evacuation_missingFromCopy_staysInForce", "[entry]") {
+  Apply(MakeRecord("plain-1", {kEra, 50}));
+  Apply(EvacuationRead{"zone-a", true, {kEra, 80}});
+  ReturnStore();
+  Apply(EvacuationsRead{});
+  CHECK_FALSE(IsSent());
+  SECTION("ended by the operator") {
+    Apply(EvacuationRead{"zone-a", false, {kEra + 1, kCopyEnd}});
+    CHECK(IsSent());
+  }
+  SECTION("not written again when the hold has ended") {
+    AdvanceTime(kHold);
+    Apply(EvacuationsRead{});
+    CHECK_FALSE(IsSent());
+    AdvanceTime(25s);
+    CHECK(EffectsOf<ReadSnapshots>().size() == 1);
+    Apply(EvacuationsRead{});
+    CHECK(IsSent());
+  }
+}
+
+// Guards against a zone that is evacuated again, as the copy doesn't know that it is back.
+TEST_CASE_METHOD(StoreReturnFixture, "evacuation_endedButInCopy_staysEnded", "[entry]") {
+  Apply(MakeRecord("plain-1", {kEra, 50}));
+  Apply(EvacuationRead{"zone-a", true, {kEra, 55}});
+  Apply(EvacuationRead{"zone-a", false, {kEra, 80}});
+  ReturnStore();
+  SECTION("the record of the copy") {
+    Apply(EvacuationsRead{{{"zone-a", true, {kEra + 1, 55}}}});
+    CHECK(IsSent());
+    AdvanceTime(30s);
+    Apply(EvacuationsRead{{{"zone-a", true, {kEra + 1, 55}}}});
+    CHECK_FALSE(IsSent());
+  }
+  SECTION("a record that the operator wrote after the return") {
+    Apply(EvacuationsRead{{{"zone-a", true, {kEra + 1, 61}}}});
+    CHECK_FALSE(IsSent());
+  }
+}
+
 // Guards against a withdrawn key that is served by a host that was cut off when it was withdrawn,
 // and reads the copy before it hears of its peers.
 TEST_CASE_METHOD(StoreReturnFixture, "read_afterReturn_countsWhenPeersHaveReplied", "[entry]") {
