Let an upstream return that is written again late

Cause: an upstream whose entry vanished in an outage and wasn't back within two seconds was marked as leaving without the mark that it was unlisted. When its server wrote it again later, it stayed out of service, and as the entry of a server in service doesn't change, for good.

upstream_expiresDuringOutage_staysInService lists it again after the grace; without the mark no request is sent to it.

--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -458,6 +458,7 @@
       if (!state.store.is_reachable || is_copy_held) {
         upstream.phase_since = scope.now;
       } else if (scope.now - upstream.phase_since >= kMissingEntryGrace) {
+        upstream.was_unlisted = true;
         StartLeaving(scope, upstream, "entry_not_back");
       }
       is_pending = true;
--- a/test/snipeturn/entry/store_updates_test.cc
+++ b/test/snipeturn/entry/store_updates_test.cc
@@ -110,6 +110,9 @@
   SECTION("missing after two seconds") {
     AdvanceTime(2500ms);
     CHECK_FALSE(IsSent());
+    // It is written again later all the same.
+    Apply(UpstreamListed{entry, {0, 101}});
+    CHECK(IsSent());
   }
 }
 
