--- a/test/platform/records_test.cc
+++ b/test/platform/records_test.cc
@@ -194,6 +194,22 @@
   CHECK_FALSE(ParseHost(nested));
 }
 
+// Guards against an older record of a host that replaces a newer one, also after its restart, which
+// begins the sequence anew.
+TEST_CASE("hostRecord_writtenLater_toldByTime", "[platform]") {
+  const auto make = [](std::int64_t sequence, int written_ms) {
+    HostRecord record{{"10.0.0.1", 7200}, "zone-a", sequence};
+    record.written_at = WallTime(std::chrono::milliseconds(written_ms));
+    return *ParseHost(WriteHost(record));
+  };
+  const HostRecord known = make(9, 5000);
+  CHECK_FALSE(IsWrittenLater(known, known));
+  CHECK_FALSE(IsWrittenLater(make(8, 4000), known));
+  CHECK(IsWrittenLater(make(1, 6000), known));
+  CHECK_FALSE(IsWrittenLater(make(10, 4000), known));
+  CHECK(IsWrittenLater(make(2, 0), make(1, 0)));
+}
+
 TEST_CASE("hostRecord_roundTrip_preserved", "[platform]") {
   const auto record = ParseHost(WriteHost({{"10.0.0.1", 7200}, "zone-a", 9}));
   CHECK(record->zone == "zone-a");
