Fuzz the entry path with stores that come back from a copy

An action brings the store back without the last records of both topics; the operator and the upstreams write again within 1.2 s. New oracles: a version never goes back in a process; a host in touch has the newest version in force within two seconds; a process that has read that an upstream leaves, or that a zone is evacuated, sends nothing there, also when the store forgets it.

--- a/test/entry_fuzz/constants.h
+++ b/test/entry_fuzz/constants.h
@@ -14,6 +14,9 @@
 inline constexpr std::chrono::milliseconds kRevocationBound{5000};
 inline constexpr std::chrono::milliseconds kDrainPeriod{2000};
 inline constexpr std::chrono::milliseconds kEvacuationBound{2000};
+inline constexpr std::chrono::milliseconds kConfigurationBound{2000};
+/// Longest time from the store's return until the operator and the upstreams have written again.
+inline constexpr std::chrono::milliseconds kMaxRewritingDelay{1200};
 inline constexpr std::chrono::milliseconds kGracePeriod{8000};
 inline constexpr std::chrono::milliseconds kMaxMessageDelay{150};
 /// Time from a process's decision to exit to its end.
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -99,6 +99,10 @@
       {"heal", 4, [](World& w, int, int) { w.Heal(); }},
       {"store down", 3, [](World& w, int first, int) { w.SetStore(false, first % 2 == 0); }},
       {"store up", 6, [](World& w, int, int) { w.SetStore(true, false); }},
+      {"store returns", 3,
+       [](World& w, int first, int second) {
+         w.ReturnStore(static_cast<std::size_t>(first % 5), static_cast<std::size_t>(second));
+       }},
       {"drop history", 3, [](World& w, int, int) { w.CompactTopics(); }},
       {"delay writes", 2,
        [](World& w, int first, int) { w.SetWriteDelay(milliseconds{first * 20}); }},
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -50,6 +50,9 @@
 
   // The store.
   void SetStore(bool is_up, bool expires_entries);
+  /// Brings the store back from a copy that lacks the last records of both topics. The operator and
+  /// the upstreams write again after a while.
+  void ReturnStore(std::size_t lost_configurations, std::size_t lost_entries);
   void CompactTopics();
   void SetWriteDelay(std::chrono::milliseconds delay) { write_delay_ = delay; }
 
@@ -120,6 +123,8 @@
   /// Read position of one process in a topic.
   struct Follower {
     std::optional<std::size_t> next;
+    /// Era of the store in which `next` is a position.
+    StoreEra era{0};
     TimePoint began{};
     bool is_reading{false};
     /// Number of the newest scheduled read; it replaces those scheduled before it.
@@ -150,6 +155,13 @@
     std::vector<Action> deferred;
     Follower configuration;
     Follower list;
+    /// Highest era that a response of the store stated.
+    StoreEra era{0};
+    /// When the process first had in force that an upstream leaves, or that a zone is evacuated, by
+    /// name and time of the fact.
+    std::map<std::pair<UpstreamId, std::int64_t>, TimePoint> known_leaving;
+    std::map<std::pair<std::string, TimePoint>, TimePoint> known_evacuations;
+    std::int64_t highest_version{0};
     TimePoint broadcast_at{};
     std::uint64_t broadcast_changes{0};
     std::uint64_t broadcast_last_update{0};
@@ -248,6 +260,13 @@
   [[nodiscard]] Host* FindHost(const std::string& name);
 
   void Write(Topic& topic, Record record);
+  /// Writes again what the store has lost.
+  void RewriteLostRecords();
+  void ScheduleRewriting(std::chrono::milliseconds delay);
+  /// Records what a process has in force, and checks that its version doesn't go back.
+  void RecordKnowledge(Host& host);
+  /// Checks that a host which is in touch has the newest version in force.
+  void CheckVersion(const Host& host);
   void ScheduleRead(int host, bool is_list, std::chrono::microseconds delay);
   void Read(int host, bool is_list);
   void ReadAfterInterval(int host, int incarnation, bool is_list, std::uint64_t read_number);
@@ -306,6 +325,12 @@
   std::chrono::milliseconds write_delay_{0};
   std::chrono::milliseconds peer_delay_{0};
   std::int64_t version_{0};
+  /// The newest configuration, and when the store acknowledged it last.
+  std::optional<DesiredState> desired_;
+  TimePoint configured_at_{};
+  StoreEra era_{1};
+  /// The store has lost records that aren't written again yet.
+  bool has_lost_records_{false};
   std::set<std::string> keys_{"key-1", "key-2"};
   std::map<std::string, TimePoint> revoked_at_;
   std::map<std::string, TimePoint> evacuated_at_;
--- a/test/entry_fuzz/world_callers.cc
+++ b/test/entry_fuzz/world_callers.cc
@@ -43,6 +43,7 @@
     caller.is_done = true;
     return;
   }
+  CheckVersion(hosts_[number]);
   RequestArrived arrived;
   arrived.request = caller.request = ++next_request_;
   arrived.head.id = fmt::format("request-{}", id);
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -169,6 +169,25 @@
         "DRAIN: {} got a request from {} {} ms after its termination notice", upstream.entry.id,
         host.name, ToMilliseconds(now_ - *upstream.left_at).count()));
   }
+  const auto known_leaving =
+      host.known_leaving.find({upstream.entry.id, upstream.entry.start_time_ms});
+  if (known_leaving != host.known_leaving.end() &&
+      now_ > known_leaving->second + kDrainPeriod + kMaxMessageDelay &&
+      host.paused_at < known_leaving->second) {
+    ReportViolation(fmt::format(
+        "DRAIN: {} got a request from {} {} ms after that had read of its end", upstream.entry.id,
+        host.name, ToMilliseconds(now_ - known_leaving->second).count()));
+  }
+  const auto known_evacuation =
+      evacuated == evacuated_at_.end()
+          ? host.known_evacuations.end()
+          : host.known_evacuations.find({evacuated->first, evacuated->second});
+  if (known_evacuation != host.known_evacuations.end() &&
+      now_ > known_evacuation->second + kEvacuationBound + kMaxMessageDelay &&
+      host.paused_at < known_evacuation->second) {
+    ReportViolation(fmt::format("EVAC: {} got a request from {}, which had read of the evacuation",
+                                upstream.entry.id, host.name));
+  }
   if (caller.is_refused) {
     ReportViolation(fmt::format("REFUSED: {} runs a request of {} that was refused",
                                 upstream.entry.id, host.name));
