Let hosts that start together answer one another

Cause: a host that has confirmed nothing itself didn't answer a request for its version, and a host with nobody to ask counted its read at once.

Such a host answers now, with an age that confirms nothing, and hosts that haven't replied are asked again every 50 ms, as they may not listen yet. A table counts as a reply. If the store lists no other host, the read waits for a peer's table, 0.6 s at most.

--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -16,6 +16,8 @@
 /// keys expire. Even when the reply comes from a reader that waits at the store for a second, the
 /// confirmation stays younger than the age at which the host reads the store itself.
 constexpr double kRequestAgeShare = 0.28;
+/// Age in the reply of a host that has confirmed nothing: more than any that counts.
+constexpr std::chrono::milliseconds kUnconfirmedAge{std::chrono::hours{1}};
 /// Minimum time between two requests; a reply takes a few milliseconds.
 constexpr std::chrono::milliseconds kMinRequestInterval{250};
 
@@ -54,13 +56,13 @@
 
 void HandleConfirmationRequest(EventScope& scope, const ConfirmationRequested& event) {
   const StoreView& store = scope.state.store;
-  if (!store.confirmed) {
-    return;
-  }
-  scope.effects.push_back(
-      SendConfirmation{event.host, event.requested_at, store.position,
-                       scope.state.desired ? scope.state.desired->version : 0,
-                       std::chrono::ceil<std::chrono::milliseconds>(scope.now - *store.confirmed)});
+  // Hosts that start together answer one another, so that none waits for the others' first read.
+  const std::chrono::milliseconds age =
+      store.confirmed ? std::chrono::ceil<std::chrono::milliseconds>(scope.now - *store.confirmed)
+                      : kUnconfirmedAge;
+  scope.effects.push_back(SendConfirmation{event.host, event.requested_at, store.position,
+                                           scope.state.desired ? scope.state.desired->version : 0,
+                                           age});
 }
 
 void HandleConfirmation(EventScope& scope, const ConfirmationReceived& event) {
@@ -70,7 +72,7 @@
   if (event.version) {
     LearnPeerVersion(scope, *event.version);
   }
-  CountVersionReply(scope, event.requested_at);
+  CountVersionReply(scope, event.host);
   // A reply to a request that this host sent before a restart or has replaced by a later one.
   if (!store.requested_at || *store.requested_at != event.requested_at) {
     return;
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -309,6 +309,8 @@
   std::optional<std::int64_t> version;
   /// Time from the start of that read to the reply.
   std::chrono::milliseconds age{0};
+  /// The other host.
+  std::string host{};
 };
 
 /// A lost attempt as one host tells another; see quarantine::CrashEntry.
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -149,6 +149,7 @@
   if (event.configuration_version) {
     LearnPeerVersion(scope, *event.configuration_version);
   }
+  CountVersionReply(scope, event.host);
   RequestConfirmationIfOld(scope);
   DispatchQueue(scope);
 }
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -56,7 +56,7 @@
     return;
   }
   if (key.kind == TimerKind::kEntryDeferredRead) {
-    ReviewDeferredRead(scope);
+    ReviewAwaitedVersions(scope);
     return;
   }
   if (key.kind == TimerKind::kEntryShutdown) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -48,10 +48,10 @@
   /// This host has just started, or has just learned that the store came back from a copy: its
   /// reads count once the peers have stated their versions.
   bool awaits_versions{true};
-  /// Number of the peers that were asked and haven't replied; empty until they are asked.
-  std::optional<std::size_t> awaited_versions;
-  /// When the peers were asked.
-  TimePoint versions_requested_at{};
+  /// The peers that were asked and haven't replied; empty until they are asked.
+  std::optional<std::set<std::string>> awaited_versions;
+  /// No peer is known that could be asked.
+  bool has_unknown_peers{false};
   /// The last read that was kept back, and when it counts although peers haven't replied.
   std::optional<StoreConfirmed> deferred_read;
   std::optional<TimePoint> deferred_until;
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -24,11 +25,17 @@
 /// hasn't written it again, and no other host has it either once those that had it have restarted.
 constexpr std::chrono::milliseconds kMaxBehindPeers{30000};
 /// Time for which the copy changes no evacuation. Operators write by hand, later than the servers.
-constexpr std::chrono::milliseconds kOperatorHold{30000};
+constexpr std::chrono::milliseconds kOperatorHold{10000};
 /// A host that has just heard of a new version has usually read it within this time.
 constexpr std::chrono::milliseconds kUsualDelay{1000};
 /// Time for which a host waits for its peers' versions. Some of the peers may be gone.
 constexpr std::chrono::milliseconds kMaxReadDelay{300};
+/// Time for which a host that has just started, and finds no other host listed in the store, waits
+/// for a peer's table: a little longer than the time between two tables.
+constexpr std::chrono::milliseconds kMaxSilence{600};
+/// Time between two requests to a peer that hasn't replied. Hosts that start together may not
+/// listen yet when they are asked.
+constexpr std::chrono::milliseconds kAskInterval{50};
 /// Number of peers that a host asks for their version. Some may be gone, and some may not have read
 /// the newest version.
 constexpr std::size_t kAskedPeers = 6;
@@ -39,20 +46,26 @@
   return state.desired ? state.desired->version : 0;
 }
 
+/// Asks the hosts that haven't replied for their versions, and looks again after a while.
+void AskAwaitedHosts(EventScope& scope) {
+  const StoreView& store = scope.state.store;
+  for (const std::string& host : *store.awaited_versions) {
+    scope.effects.push_back(RequestConfirmation{host, scope.now});
+  }
+  Schedule(scope.state.timers, {TimerKind::kEntryDeferredRead, 0}, scope.now + kAskInterval);
+}
+
 /// Asks some hosts for their versions.
 /// @param hosts Names of hosts in their order.
-/// @param has_others There are hosts that can't be asked.
-void AskForVersions(EventScope& scope, const std::vector<std::string>& hosts, bool has_others) {
-  StoreView& store = scope.state.store;
-  store.versions_requested_at = scope.now;
-  std::size_t asked = 0;
+void AskForVersions(EventScope& scope, const std::vector<std::string>& hosts) {
+  std::set<std::string> asked;
   // The names of a zone's hosts are alike, so that a step spreads the requests over the zones.
   const std::size_t step = std::max<std::size_t>(1, hosts.size() / kAskedPeers);
-  for (std::size_t index = 0; index < hosts.size() && asked < kAskedPeers; index += step) {
-    scope.effects.push_back(RequestConfirmation{hosts[index], scope.now});
-    ++asked;
+  for (std::size_t index = 0; index < hosts.size() && asked.size() < kAskedPeers; index += step) {
+    asked.insert(hosts[index]);
   }
-  store.awaited_versions = has_others ? 1 : asked;
+  scope.state.store.awaited_versions = std::move(asked);
+  AskAwaitedHosts(scope);
   ReviewDeferredRead(scope);
 }
 
@@ -61,6 +74,7 @@
   StoreView& store = scope.state.store;
   store.awaits_versions = true;
   store.awaited_versions.reset();
+  store.has_unknown_peers = false;
   store.deferred_until.reset();
   std::vector<std::string> hosts;
   for (const auto& [host, peer] : scope.state.peers) {
@@ -68,7 +82,7 @@
       hosts.push_back(host);
     }
   }
-  AskForVersions(scope, hosts, false);
+  AskForVersions(scope, hosts);
 }
 
 }  // namespace
@@ -151,10 +165,12 @@
     return false;
   }
   if (!store.deferred_until) {
-    store.deferred_until = scope.now + kMaxReadDelay;
-    Schedule(scope.state.timers, {TimerKind::kEntryDeferredRead, 0}, *store.deferred_until);
+    store.deferred_until = scope.now + (store.has_unknown_peers ? kMaxSilence : kMaxReadDelay);
+    Schedule(scope.state.timers, {TimerKind::kEntryDeferredRead, 0}, scope.now + kAskInterval);
   }
-  if (store.awaited_versions == std::size_t{0} || scope.now >= *store.deferred_until) {
+  const bool have_replied =
+      store.awaited_versions && store.awaited_versions->empty() && !store.has_unknown_peers;
+  if (have_replied || scope.now >= *store.deferred_until) {
     store.awaits_versions = false;
     store.deferred_read.reset();
     return false;
@@ -172,19 +188,36 @@
   for (const auto& [host, zone] : event.zones) {
     hosts.push_back(host);
   }
-  // Hosts that the store lists without a zone can't be asked; their tables may come in time.
-  AskForVersions(scope, hosts, event.hosts > 1 && hosts.empty());
+  // The copy may lack the records of all other hosts, whose tables come without being asked for.
+  scope.state.store.has_unknown_peers = hosts.empty();
+  AskForVersions(scope, hosts);
 }
 
-void CountVersionReply(EventScope& scope, TimePoint requested_at) {
+void CountVersionReply(EventScope& scope, const std::string& host) {
   StoreView& store = scope.state.store;
-  if (store.awaits_versions && store.awaited_versions && *store.awaited_versions > 0 &&
-      requested_at == store.versions_requested_at) {
-    *store.awaited_versions -= 1;
+  if (!store.awaits_versions || !store.awaited_versions) {
+    return;
+  }
+  store.awaited_versions->erase(host);
+  store.has_unknown_peers = false;
+  if (store.awaited_versions->empty()) {
     ReviewDeferredRead(scope);
   }
 }
 
+void ReviewAwaitedVersions(EventScope& scope) {
+  const StoreView& store = scope.state.store;
+  ReviewDeferredRead(scope);
+  if (!store.awaits_versions || !store.deferred_read) {
+    return;
+  }
+  if (store.awaited_versions) {
+    AskAwaitedHosts(scope);
+  } else {
+    Schedule(scope.state.timers, {TimerKind::kEntryDeferredRead, 0}, scope.now + kAskInterval);
+  }
+}
+
 void ReviewDeferredRead(EventScope& scope) {
   if (const auto read = std::exchange(scope.state.store.deferred_read, std::nullopt)) {
     ConfirmStore(scope, *read);
--- a/src/snipeturn/entry/store_return.h
+++ b/src/snipeturn/entry/store_return.h
@@ -57,8 +57,12 @@
 /// @brief Asks the peers that the store lists for their versions, if this host has just started.
 void AskListedPeers(EventScope& scope, const HostsRead& event);
 
-/// @brief Notes a peer's reply to the request for its version.
-void CountVersionReply(EventScope& scope, TimePoint requested_at);
+/// @brief Notes that a peer has stated what it knows.
+void CountVersionReply(EventScope& scope, const std::string& host);
+
+/// @brief Counts the read that was kept back if it is due, else asks the peers again that haven't
+///     replied.
+void ReviewAwaitedVersions(EventScope& scope);
 
 /// @brief Counts the read that was kept back, if what it waits for has come.
 void ReviewDeferredRead(EventScope& scope);
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -259,9 +259,9 @@
     if (!age) {
       return std::nullopt;
     }
-    message.content =
-        entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
-                                    DecodeConfigurationPosition(root), DecodeVersion(root), *age};
+    message.content = entry::ConfirmationReceived{DecodeTime(root[kAnsweredKey]),
+                                                  DecodeConfigurationPosition(root),
+                                                  DecodeVersion(root), *age, message.host};
     return message;
   }
   if (root.isMember(kSumKey)) {
--- a/test/snipeturn/entry/entry_fixture.h
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -33,7 +33,7 @@
     desired.has_organisations = true;
     desired.organisation_by_key["key-1"] = {"org-1", std::nullopt};
     Apply(DesiredStateRead{desired});
-    Apply(HostsRead{});
+    state.store.awaits_versions = false;
     ConfirmStore();
   }
 
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -52,6 +52,8 @@
     route.services = {{"engines", 1}};
     desired.routes.push_back(route);
     runtime.Apply(entry::DesiredStateRead{desired});
+    runtime.Apply(entry::HostsRead{2, {{"other", ""}}});
+    runtime.Apply(entry::ConfirmationReceived{{}, {}, 0, std::chrono::hours(1), "other"});
     runtime.Apply(entry::HostsRead{});
     runtime.Apply(entry::StoreConfirmed{BootTime()});
     AddUpstream("plain-1", "plain", endpoint());
