Deliver bytes after a close to callers only

Cause: the longer time for the last bytes of a slow caller was set on every connection at its close, also on those to upstreams and to the store. Only connections to callers ask for it now.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -47,6 +47,7 @@
       self->handlers_.on_flushed(self->key_);
     }
   };
+  connection_->DeliverAfterClose();
   connection_->Start(std::move(own));
 }
 
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -110,7 +110,8 @@
     return;
   }
   is_open_ = false;
-  LimitUnacknowledged(internal::kMaxUnacknowledgedAfterClose);
+  LimitUnacknowledged(delivers_after_close_ ? internal::kMaxUnacknowledgedAfterClose
+                                            : internal::kMaxUnacknowledged);
   boost::system::error_code ignored;
   socket_.close(ignored);
 }
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -67,6 +67,14 @@
   /// @param now Present time.
   void CheckAcknowledgements(TimePoint now);
 
+  /// @brief Lets the kernel deliver the last bytes after `Close` for longer than it waits
+  /// otherwise.
+  ///     For connections to callers only: bytes for an upstream must not arrive after the caller of
+  ///     the request has gone.
+  void DeliverAfterClose() noexcept { delivers_after_close_ = true; }
+
+  /// @return When the peer acknowledged new bytes last, as far as this is known.
+  [[nodiscard]] TimePoint latest_progress() const noexcept { return latest_progress_; }
   [[nodiscard]] bool is_open() const noexcept { return is_open_; }
   [[nodiscard]] std::size_t unwritten_bytes() const noexcept { return output_.size(); }
   /// @return Bytes that the socket has accepted so far.
@@ -94,6 +102,7 @@
   TimePoint latest_progress_;
   TimePoint checked_at_;
   bool is_limit_extended_{false};
+  bool delivers_after_close_{false};
   bool is_open_{true};
   bool is_reading_{true};
   bool awaits_readable_{false};
