End callers that read nothing of their last response

Cause: the kernel's limit was the only bound for a connection that closes after its last write, and it is extended now as long as the caller's host acknowledges probes. Without an open request, a connection whose bytes make no progress for the idle timeout is aborted. This holds for kept connections, too, which were aborted at the idle timeout even while their caller was reading.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 #include "snipeturn/loop/boot_clock.h"
@@ -172,6 +173,13 @@
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
   connection_->CheckAcknowledgements(now);
+  if (!has_open_request_ && connection_->unwritten_bytes() > 0) {
+    // Nothing else ends a caller that reads nothing of its last response.
+    if (now - std::max(phase_started_at_, connection_->latest_progress()) > limits_.idle_timeout) {
+      Abort();
+    }
+    return;
+  }
   if (has_open_request_ || is_closing_) {
     return;
   }
