Take an orderly end before a reset for an orderly end

What callers saw: found in review.

Cause: the error of a write was reported at the next read, whichever it was. A broken pipe means that the peer had ended its side before the reset, so only the first other error is kept.

--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -228,7 +228,10 @@
   const std::size_t count = socket_.write_some(boost::asio::buffer(output_), error);
   if (error && error != boost::asio::error::would_block) {
     // The next read ends the connection after the bytes that have come, unless reading is paused.
-    write_error_ = error;
+    // A broken pipe says that the peer has ended its side in order before it closed.
+    if (!write_error_ && error != boost::asio::error::broken_pipe) {
+      write_error_ = error;
+    }
     if (!is_reading_) {
       HandleEnd(ConnectionEnd::kFailed, error.message());
     }
--- a/test/snipeturn/loop/http_client_ends_test.cc
+++ b/test/snipeturn/loop/http_client_ends_test.cc
@@ -76,5 +76,21 @@
   CHECK(received.empty());
 }
 
+// Guards against a whole response that counts as broken, as the upstream reads no more of the
+// request.
+TEST_CASE_METHOD(ExchangeEndFixture, "earlyResponse_endsInOrderBeforeReset_complete", "[loop]") {
+  Start("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6000000\r\n\r\n" +
+        std::string(6000000, 'x'));
+  tcp::socket server = Accept();
+  RunFor(200ms);
+  Write(server, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwhole body");
+  server.shutdown(tcp::socket::shutdown_send);
+  std::this_thread::sleep_for(20ms);
+  server.close();
+  REQUIRE(EndsInTime());
+  CHECK(*result == ExchangeResult::kComplete);
+  CHECK(body == "whole body");
+}
+
 }  // namespace
 }  // namespace snipeturn::loop
