Don't count a wait as a response of its service

Found in review: a request that its caller gave up after 2 s kept the time of an earlier response (43 ms) in use for 27 s, so a stopping host would forecast by it without any response for that time. A wait raises the longest time now without renewing it.

--- a/src/snipeturn/entry/service_times.cc
+++ b/src/snipeturn/entry/service_times.cc
@@ -15,7 +15,9 @@
 void RecordWait(RecentLongest& recent, std::chrono::microseconds duration, TimePoint now) {
   const auto longest = Largest(recent, now);
   if (longest && duration > *longest) {
+    const TimePoint recorded_at = recent.recorded_at;
     Record(recent, duration, now);
+    recent.recorded_at = recorded_at;
   }
 }
 
--- a/test/snipeturn/entry/service_times_test.cc
+++ b/test/snipeturn/entry/service_times_test.cc
@@ -58,6 +58,18 @@
   CHECK_FALSE(Largest(times.response, now + 15s));
 }
 
+// Guards against a wait without a response that makes an old time count for longer.
+TEST_CASE_METHOD(ServiceTimesFixture, "duration_onlyWaitsSince_forgotten", "[entry]") {
+  Record<std::chrono::microseconds>(times.response, 43ms, now);
+  request.kind = RouteKind::kIdempotent;
+  Attempt attempt;
+  attempt.sent_at = now + 10s;
+  request.attempts.push_back(attempt);
+  RecordRequestTimes(times, request, false, now + 12s);
+  CHECK(Largest(times.response, now + 14s) == 2s);
+  CHECK_FALSE(Largest(times.response, now + 15s));
+}
+
 // Guards against a service that was slow once and is taken for slow for good.
 TEST_CASE_METHOD(ServiceTimesFixture, "duration_twoWindowsOld_forgotten", "[entry]") {
   Record<std::chrono::microseconds>(times.response, 900ms, now);
