--- a/test/process/store_return_test.py
+++ b/test/process/store_return_test.py
@@ -159,10 +159,11 @@
         self.report(case, text, wrong)
 
     def expect_idle(self, case, text, upstream, since, until=float("inf")):
-        """The upstream runs nothing that was sent in this time."""
-        self.report(case, text, [describe(result, since) for result in self.results
-                                 if result.upstream == upstream.name
-                                 and since <= result.sent < until])
+        """Nothing reaches the upstream in this time."""
+        self.report(case, text, [f"{request} {at - since:.2f} s after"
+                                 for request, runs in self.executions.items()
+                                 for name, at in runs
+                                 if name == upstream.name and since <= at < until])
 
 
 def describe(result, since):
