Test: a return of the store without a readable Store-Era

Guards against a host that follows the log only if the store states its era: the worlds of kept polls and of two returns run once more with the header absent and unreadable.

--- a/test/process/store_return_test.py
+++ b/test/process/store_return_test.py
@@ -33,7 +33,7 @@
 # Pause between two probes of one kind at one daemon, and how long each bound is watched.
 PROBE_S, WATCH_S = 0.1, 2.5
 # Worlds that run at the same time.
-WORKERS = 6
+WORKERS = 8
 
 Result = collections.namedtuple("Result", "sent daemon incarnation path key status upstream")
 
@@ -43,6 +43,7 @@
 
     plain_services = ("plain", "late", "evacuated", "left")
     revoke_s = REVOKE_S
+    era_form = "number"
 
     def __init__(self, program, folder):
         super().__init__(program, 1, folder)
@@ -394,12 +395,22 @@
     store_type = odd_entries_test.PagedStore
 
 
+class UnstatedEraWorld(ReturnWorld):
+    era_form = "absent"
+
+
+class UnreadableEraWorld(ReturnWorld):
+    era_form = "unreadable"
+
+
 WORLDS = {"kept_polls": (ReturnWorld, run_kept_polls),
           "answered_polls": (ReturnWorld, run_answered_polls),
           "restart": (ReturnWorld, run_restart),
           "two_returns": (ReturnWorld, run_two_returns),
           "cut_hosts": (ReturnWorld, run_cut_hosts),
-          "pages": (PagedWorld, run_pages)}
+          "pages": (PagedWorld, run_pages),
+          "unstated_era": (UnstatedEraWorld, run_kept_polls),
+          "unreadable_era": (UnreadableEraWorld, run_two_returns)}
 
 
 async def run_world(program, name):
@@ -409,6 +420,7 @@
     try:
         # The world's start makes the store; upstreams of a scenario come before the daemons.
         world.store = await world.store_type().start()
+        world.store.era_form = world.era_form
         await scenario(world)
     finally:
         await world.end()
