--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -47,6 +47,7 @@
     "32": "STOP: both series of faults restarted one daemon, which was then started twice",
     "47": "LOST: streams that a stopping daemon took by an assumed speed of its engines were cut off",
     "113": "DENIED: one port was given out twice, so callers met another daemon's readiness port",
+    "412": "CONFIG: a host that started served by the store's copy until it heard from its peers",
     "141": "the soak ended with an error: both series of faults removed one upstream",
 }
 # Ports below those that the system gives to outgoing connections. Each process begins with others:
