Ask for delivery after the close in the test of a late reader

lastResponse_peerReadsLate_arrivesWhole uses a bare connection, which asks for the longer delivery now as those to callers do. The check is the same.

--- a/test/snipeturn/loop/connection_test.cc
+++ b/test/snipeturn/loop/connection_test.cc
@@ -98,6 +98,7 @@
                  "lastResponse_peerReadsLate_arrivesWhole",
                  "[loop_slow_caller]") {
   const std::size_t size = 200000;
+  connection->DeliverAfterClose();
   connection->Write(std::string(size, 'x'));
   connection->CloseAfterWrite();
   REQUIRE(RunUntil([this] { return !connection->is_open(); }));
