--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -267,8 +267,8 @@
       case TimerKind::kEntryDispatch:
       case TimerKind::kEntryCrashReview:
       case TimerKind::kEntryCrashSync:
-    case TimerKind::kEntryCopyHold:
-    case TimerKind::kEntryDeferredRead:
+      case TimerKind::kEntryCopyHold:
+      case TimerKind::kEntryDeferredRead:
         assert(false && "timer belongs to the reducer of the entry path");
         break;
     }
