--- a/review/lib/engines.py
+++ b/review/lib/engines.py
@@ -146,7 +146,6 @@
                 self is target or (self is source and generation.is_stopped)):
             return None
         del self.world.copies[handle]
-        generation.is_stopped = True
         resumed = Generation(generation.request, generation.prompt_tokens, generation.events)
         resumed.made = int(fields["last-event-id"])
         return resumed
