--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,5 +1,5 @@
-"""A prompt part crashes each engine that begins to write an answer on it: how many requests with it
-reach engines after the fifth crash?"""
+"""An engine that leaves doesn't get the call that stops a generation for its move: is the generation
+continued elsewhere while the engine still works on it?"""
 
 import asyncio
 import os
@@ -8,109 +8,96 @@
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
+from callers import send_stream  # noqa: E402
 from deployment import (  # noqa: E402
-    ADDRESS, BROKEN, HELD, STABLE_S, encode_request, engine_service, has_trouble, main,
-    read_answer_head, read_chunks, route)
-from engines import Engine  # noqa: E402
-
-ENGINES = 6
-DEADLY_PART, SHARED_PART = "dead0001", "5a5a0001"
-DEADLY_REQUESTS, DEADLY_INTERVAL_S = 12, 3.5
-SOUND_INTERVAL_S = 0.18
-BACK_AFTER_S = 3.0
-# An entry without a sign of life for three heartbeats is removed.
-LAPSE_S = 3.6
-# The rule allows three requests after the fifth crash and `stable_ms`.
-COUNTED_CRASHES, MAX_REQUESTS = 5, 3
-
-
-class FragileEngine(Engine):
-    def is_crashed_by(self, fields):
-        if DEADLY_PART not in fields["prompt-prefix"]:
+    BROKEN, HELD, engine_service, has_trouble, main, read_head, route)
+from engines import TOKENS_PER_EVENT, Engine, Generation  # noqa: E402
+
+STREAMS, PROMPT_TOKENS, OUTPUT_TOKENS = 6, 300, 800
+EXITS_AFTER_S = 20.0
+# A request may run on for so long at the engine before.
+STILL_AT_WORK_S = 0.4
+
+
+class LastingEngine(Engine):
+    """Works on when a channel closes, and drops idle channels on which a call was answered."""
+
+    drops_idle_channels = False
+
+    async def serve(self, reader, writer):
+        while (head := await read_head(reader)) is not None:
+            method, target, fields = head
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
+            if "request-id" in fields:
+                if fields.get("expect-instance") != self.name or not await self.run(
+                        writer, fields, body):
+                    return
+            else:
+                writer.write(await self.call(method, target, body))
+                await writer.drain()
+                if self.drops_idle_channels:
+                    # "Whatever is sent next on that channel is reset."
+                    await reader.read(1)
+                    self.world.record.add(f"{self.name} resets a channel that it had dropped")
+                    writer.transport.abort()
+                    return
+            await writer.drain()
+
+    async def run(self, writer, fields, body):
+        if "kv-from" in fields:
+            self.world.resumed[fields["request-id"]] = (time.monotonic(), self)
+            return await super().run(writer, fields, body)
+        request = fields["request-id"]
+        prompt, output = (int(count) for count in fields["token-counts"].split(","))
+        generation = Generation(request, prompt, output // TOKENS_PER_EVENT)
+        self.record_run(request, "begins")
+        self.generations[request] = generation
+        try:
+            return await self.stream(writer, generation)
+        except ConnectionError:
             return False
-        self.world.deadly.append((time.monotonic(), fields["request-id"]))
-        return has_trouble()
-
-    def crash(self):
-        self.world.crashes.append(time.monotonic())
-        self.world.spawn(replace(self.world, self))
-        super().crash()
-
-
-async def replace(world, crashed):
-    """Starts a crashed engine again, with a new id as most servers have."""
-    await asyncio.sleep(BACK_AFTER_S)
-    await add_engine(world)
-    await asyncio.sleep(LAPSE_S - BACK_AFTER_S)
-    await world.store.put("keyed.servers", crashed.name, b"")
-
-
-async def add_engine(world):
-    world.next_engine += 1
-    await world.add(FragileEngine(world, f"i-{world.next_engine}", "zone-a", event_s=0.1))
-
-
-async def stream(world, daemon, request, parts, output):
-    """Sends a request for a stream; returns True if it ended whole."""
-    world.record.add(f"{request} sent to {daemon.name}, parts {parts}")
-    end, writer, events = "", None, 0
-    try:
-        reader, writer = await asyncio.open_connection(ADDRESS, daemon.front)
-        writer.write(encode_request(request, "/label/new", 6000, b"p" * 300, [
-            ("Model", "m"), ("Token-Counts", f"70,{output}"), ("Prompt-Prefix", parts)]))
-        status, fields = await asyncio.wait_for(read_answer_head(reader), 7)
-        end = str(status)
-        if status == 200:
-            async for _ in read_chunks(reader):
-                events += 1
-            end = f"whole after {events} events"
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-        end = f"broken off after {events} events" if end == "200" else "closed without an answer"
-    finally:
-        if writer:
-            writer.close()
-    world.record.add(f"{request} ends: {end}")
-    return end
-
+        finally:
+            self.world.spawn(self.work_on(generation))
 
-async def send_sound(world):
-    """Sends sound requests with the same key and first part to the second daemon."""
-    async def send(request):
-        end = await stream(world, world.daemons[1], request, f"{SHARED_PART}:40,{request}:30", 40)
-        world.sound.append((time.monotonic(), end))
+    async def work_on(self, generation):
+        """Makes the rest of the events of a generation whose channel has closed."""
+        while generation.made < generation.events and not generation.is_stopped:
+            await asyncio.sleep(self.event_s)
+            generation.made += 1
+            self.note_work(generation)
 
-    while True:
-        world.spawn(send(f"a{world.new_request()[1:]}"))
-        await asyncio.sleep(SOUND_INTERVAL_S)
+    def note_work(self, generation):
+        self.world.worked[generation.request] = time.monotonic()
 
 
 async def case(world):
-    world.ran, world.copies, world.next_engine = {}, {}, 0
-    world.crashes, world.deadly, world.sound = [], [], []
-    await world.start([route("label", "stream", "engines", 6000, 1500, gap_target_ms=180)],
-                      [engine_service("engines")], daemons=2)
-    for _ in range(ENGINES):
-        await add_engine(world)
+    world.ran, world.copies, world.resumed, world.worked = {}, {}, {}, {}
+    await world.start([route("sheet", "stream", "engines", 39000, 1800, gap_target_ms=180)],
+                      [engine_service("engines")])
+    source = await world.add(LastingEngine(world, "i-1", "zone-a", event_s=0.06))
     world.spawn(world.beat())
     await world.start_daemons()
-    world.spawn(send_sound(world))
-    await asyncio.sleep(3)
-    for _ in range(DEADLY_REQUESTS):
-        request = f"d{world.new_request()[1:]}"
-        world.spawn(stream(world, world.daemons[0], request,
-                           f"{SHARED_PART}:20,{DEADLY_PART}:30,{request}:20", 40))
-        await asyncio.sleep(DEADLY_INTERVAL_S)
-    if len(world.crashes) < COUNTED_CRASHES:
-        world.record.conclude(f"{len(world.crashes)} crashes")
-        return HELD
-    since = world.crashes[COUNTED_CRASHES - 1] + STABLE_S
-    late = [request for at, request in world.deadly if at > since]
-    lost = sum(at > since and end.startswith("broken") for at, end in world.sound)
+    streams = []
+    for _ in range(STREAMS):
+        streams.append(world.spawn(send_stream(world, world.daemons[0], PROMPT_TOKENS,
+                                               OUTPUT_TOKENS)))
+        await asyncio.sleep(0.3)
+    await world.add(LastingEngine(world, "i-2", "zone-b", event_s=0.06))
+    await asyncio.sleep(0.5)
+    source.drops_idle_channels = has_trouble()
+    world.spawn(source.drain(EXITS_AFTER_S))
+    await asyncio.gather(*streams)
+    twice = []
+    for request, (at, engine) in sorted(world.resumed.items()):
+        worked_s = world.worked.get(request, 0.0) - at
+        if worked_s > STILL_AT_WORK_S:
+            twice.append(request)
+            world.record.add(f"{request} went on at {engine.name} while i-1 worked on it for another "
+                             f"{worked_s:.2f} s")
     world.record.conclude(
-        f"{len(world.crashes)} crashes; {len(late)} requests with the part reached engines later "
-        f"than {STABLE_S:.0f} s after the fifth crash ({MAX_REQUESTS} are allowed): "
-        f"{', '.join(late)}; {lost} sound streams were broken off since then")
-    return BROKEN if len(late) > MAX_REQUESTS else HELD
+        f"{len(world.resumed)} streams went on at another engine; {len(twice)} of them while the "
+        f"engine before still worked on them {STILL_AT_WORK_S} s later: {', '.join(twice)}")
+    return BROKEN if twice else HELD
 
 
 main(FOLDER, case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,93 +1,63 @@
-"""Two engines of a zone leave at the same time: does a generation that is moved from the first one go
-on at the second one after that has drained?"""
+"""An engine that leaves stops a generation for a move that its target doesn't take: does the broken
+stream, which has neither a length nor chunks, end as complete?"""
 
 import asyncio
 import os
-import random
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "lib"))
-from deployment import (  # noqa: E402
-    ADDRESS, BROKEN, DRAIN_S, HELD, encode_request, engine_service, has_trouble, main,
-    read_answer_head, read_chunks, route)
-from engines import Engine  # noqa: E402
+from callers import send_stream  # noqa: E402
+from deployment import BROKEN, HELD, engine_service, has_trouble, main, route  # noqa: E402
+from engines import TOKENS_PER_EVENT, Engine  # noqa: E402
 
-DAEMONS = 4
-REMOTE_ENGINES = 6
-STREAMS, PROMPT_TOKENS, OUTPUT_TOKENS = 56, 3200, 800
-# Time from one engine's notice to the next, and from its notice to its end.
-GAP_S = 0.05
-FIRST_EXITS_S, SECOND_EXITS_S = 2.6, 4.0
-# Time for the request to go from the daemon to the engine.
-SLACK_S = 0.1
+STREAMS, PROMPT_TOKENS, OUTPUT_TOKENS = 6, 300, 800
+# The leaving engine serves on for some seconds; the other one starts this long after its notice.
+EXITS_AFTER_S, TARGET_STARTS_S = 20.0, 1.95
+# "Responses on different channels may overtake each other": the answer to the move comes this much
+# before the end of the stream that the move has stopped.
+OVERTAKES_S = 0.1
 
 
-class WatchedEngine(Engine):
-    """Notes requests that reach it after it has drained."""
+class StoppingEngine(Engine):
+    """An engine whose targets run out of memory before the last part of a move."""
 
-    async def run(self, writer, fields, body):
-        now = time.monotonic()
-        if self.is_drained(now - SLACK_S):
-            self.world.late.append((fields["request-id"], self.name, now - self.drained_at))
-            self.world.record.add(f"{fields['request-id']} reaches {self.name} "
-                                  f"{now - self.drained_at:.2f} s after its notice")
-        return await super().run(writer, fields, body)
+    async def transfer(self, generation, target):
+        if generation.is_stopped:
+            self.world.record.add(f"{generation.request} stopped for a move after "
+                                  f"{generation.made} events; {target.name} has no room")
+            return False
+        return await super().transfer(generation, target)
 
-
-async def stream(world, daemon, request):
-    world.record.add(f"{request} sent to {daemon.name}")
-    events, end, writer = 0, "closed without an answer", None
-    try:
-        reader, writer = await asyncio.open_connection(ADDRESS, daemon.front)
-        writer.write(encode_request(request, "/sheet/new", 39000, b"p" * 2600, [
-            ("Model", "m"), ("Token-Counts", f"{PROMPT_TOKENS},{OUTPUT_TOKENS}"),
-            ("Length-Hint", str(OUTPUT_TOKENS)), ("Prompt-Prefix", f"{request}:{PROMPT_TOKENS}")]))
-        status, fields = await asyncio.wait_for(read_answer_head(reader), 39)
-        end = str(status)
-        if status == 200:
-            async for data in read_chunks(reader):
-                events += data.count(b"\n\n")
-            end = f"whole after {events} events"
-    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError):
-        end = f"broken off after {events} events" if end == "200" else end
-    finally:
-        if writer:
-            writer.close()
-    world.record.add(f"{request} ends: {end}")
-    return request, end
+    async def close_stopped(self, writer):
+        await asyncio.sleep(OVERTAKES_S)
 
 
 async def case(world):
-    world.ran, world.copies, world.late = {}, {}, []
+    world.ran, world.copies = {}, {}
     await world.start([route("sheet", "stream", "engines", 39000, 1800, gap_target_ms=180)],
-                      [engine_service("engines")], daemons=DAEMONS)
-    leaving = [await world.add(WatchedEngine(world, f"i-{number}", "zone-a", event_s=0.06))
-               for number in (1, 2)]
-    for number in range(REMOTE_ENGINES):
-        await world.add(WatchedEngine(world, f"i-{number + 3}", "zone-b", event_s=0.06))
+                      [engine_service("engines")])
+    source = await world.add(StoppingEngine(world, "i-1", "zone-a", event_s=0.06))
+    source.is_framed = False
     world.spawn(world.beat())
     await world.start_daemons()
-    streams, draw = [], random.Random(1)
+    streams = []
     for _ in range(STREAMS):
-        streams.append(world.spawn(stream(world, draw.choice(world.daemons),
-                                          f"s{world.new_request()[1:]}")))
-        await asyncio.sleep(0.07)
+        streams.append(world.spawn(send_stream(world, world.daemons[0], PROMPT_TOKENS,
+                                               OUTPUT_TOKENS)))
+        await asyncio.sleep(0.3)
     await asyncio.sleep(0.5)
     if has_trouble():
-        world.spawn(leaving[0].drain(FIRST_EXITS_S))
-        await asyncio.sleep(GAP_S)
-        world.spawn(leaving[1].drain(SECOND_EXITS_S))
-    ends = dict(await asyncio.gather(*streams))
-    lost = [request for request, _, _ in world.late if not ends[request].startswith("whole")]
+        world.spawn(source.drain(EXITS_AFTER_S))
+    await asyncio.sleep(TARGET_STARTS_S)
+    await world.add(Engine(world, "i-2", "zone-b", event_s=0.06))
+    ends = await asyncio.gather(*streams)
+    events = OUTPUT_TOKENS // TOKENS_PER_EVENT
+    wrong = [end for end in ends if end.is_whole and end.events < events]
     world.record.conclude(
-        f"{len(world.late)} requests reached an engine later than {DRAIN_S:.0f} s after the store had "
-        f"acknowledged that it is draining: "
-        + ", ".join(f"{request} at {name} after {after:.2f} s" for request, name, after in world.late)
-        + f"; {len(lost)} of these streams were lost, "
-        f"{sum(not end.startswith('whole') for end in ends.values())} of all {len(ends)}")
-    return BROKEN if world.late else HELD
+        f"{len(wrong)} of {len(ends)} streams ended as whole before their last event: "
+        + ", ".join(f"{end.request} after {end.events} of {events}" for end in wrong))
+    return BROKEN if wrong else HELD
 
 
 main(FOLDER, case)
