--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,5 +1,5 @@
-"""An engine in trouble sends line ends without end in the body of one stream: does the daemon go on to
-answer the requests of others?"""
+"""An engine in trouble sends line ends without end in the body of one stream: does the daemon go on
+to answer the requests of others?"""
 
 import asyncio
 import os
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,10 @@
-"""An engine that leaves doesn't get the call that stops a generation for its move: is the generation
-continued elsewhere while the engine still works on it?"""
+"""An engine that leaves doesn't get the call that stops a generation for its move: does the
+generation go on elsewhere while the engine still works on it?"""
 
 import asyncio
 import os
+import socket
+import struct
 import sys
 import time
 
@@ -17,6 +19,7 @@
 EXITS_AFTER_S = 20.0
 # A request may run on for so long at the engine before.
 STILL_AT_WORK_S = 0.4
+RESET_AT_CLOSE = struct.pack("ii", 1, 0)
 
 
 class LastingEngine(Engine):
@@ -39,7 +42,8 @@
                     # "Whatever is sent next on that channel is reset."
                     await reader.read(1)
                     self.world.record.add(f"{self.name} resets a channel that it had dropped")
-                    writer.transport.abort()
+                    writer.get_extra_info("socket").setsockopt(
+                        socket.SOL_SOCKET, socket.SO_LINGER, RESET_AT_CLOSE)
                     return
             await writer.drain()
 
@@ -64,10 +68,7 @@
         while generation.made < generation.events and not generation.is_stopped:
             await asyncio.sleep(self.event_s)
             generation.made += 1
-            self.note_work(generation)
-
-    def note_work(self, generation):
-        self.world.worked[generation.request] = time.monotonic()
+            self.world.worked[generation.request] = time.monotonic()
 
 
 async def case(world):
@@ -92,8 +93,8 @@
         worked_s = world.worked.get(request, 0.0) - at
         if worked_s > STILL_AT_WORK_S:
             twice.append(request)
-            world.record.add(f"{request} went on at {engine.name} while i-1 worked on it for another "
-                             f"{worked_s:.2f} s")
+            world.record.add(f"{request} went on at {engine.name} while i-1 worked on it for "
+                             f"another {worked_s:.2f} s")
     world.record.conclude(
         f"{len(world.resumed)} streams went on at another engine; {len(twice)} of them while the "
         f"engine before still worked on them {STILL_AT_WORK_S} s later: {', '.join(twice)}")
