Split server-sent events in linear time

Cause: the splitter searched all that it had buffered for LF LF before CR LF CR LF, for each event of four bytes, and moved the rest of the buffer each time.

Ruled out: HTTP parser, chunk heads, interim responses (linear or bounded, existing tests).

Fix: one pass over the bytes, line by line; the buffer is erased once per read. Blank lines alone are no event and fall under the bound of an incomplete event, so that such a stream is broken off.

--- a/src/snipeturn/loop/event_splitter.cc
+++ b/src/snipeturn/loop/event_splitter.cc
@@ -35,28 +35,28 @@
 }
 
 std::optional<StreamEvent> EventSplitter::Next() {
-  constexpr std::size_t kMaxTerminatorBytes = 4;
-  const std::size_t lf_terminator = buffer_.find("\n\n", search_start_);
-  const std::size_t crlf_terminator = buffer_.find("\r\n\r\n", search_start_);
-  std::size_t end = std::string::npos;
-  if (lf_terminator != std::string::npos) {
-    end = lf_terminator + 2;
-  }
-  if (crlf_terminator != std::string::npos &&
-      (end == std::string::npos || crlf_terminator + 4 < end)) {
-    end = crlf_terminator + 4;
-  }
-  if (end == std::string::npos) {
-    search_start_ =
-        buffer_.size() < kMaxTerminatorBytes ? 0 : buffer_.size() - (kMaxTerminatorBytes - 1);
-    return std::nullopt;
+  std::size_t line_end = buffer_.find('\n', searched_);
+  while (line_end != std::string::npos) {
+    const std::string_view line(buffer_.data() + line_start_, line_end - line_start_);
+    const bool is_blank = line.empty() || line == "\r";
+    searched_ = line_start_ = line_end + 1;
+    if (is_blank && has_content_) {
+      StreamEvent event;
+      event.bytes = buffer_.substr(event_start_, line_start_ - event_start_);
+      event.id = internal::FindId(event.bytes);
+      event_start_ = line_start_;
+      has_content_ = false;
+      return event;
+    }
+    has_content_ = has_content_ || !is_blank;
+    line_end = buffer_.find('\n', searched_);
   }
-  search_start_ = 0;
-  StreamEvent event;
-  event.bytes = buffer_.substr(0, end);
-  event.id = internal::FindId(event.bytes);
-  buffer_.erase(0, end);
-  return event;
+  // Erased once per read, not once per event, so that many small events take linear time.
+  buffer_.erase(0, event_start_);
+  line_start_ -= event_start_;
+  event_start_ = 0;
+  searched_ = buffer_.size();
+  return std::nullopt;
 }
 
 }  // namespace snipeturn::loop
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -123,6 +123,29 @@
   }
 }
 
+// Guards against one stream of line ends without end that keeps the loop from all other requests
+// (review/1).
+TEST_CASE_METHOD(ResponseFixture, "stream_lineEndsWithoutEnd_brokenWhileOthersAreServed", "[loop]") {
+  const std::string line_end = GENERATE("\r\n", "\n");
+  tcp::socket& troubled = Send("r1", "/long/a");
+  Write(troubled, std::string(kStreamHead) + "Connection: close\r\n\r\n");
+  std::string piece;
+  while (piece.size() < 65536) {
+    piece += line_end;
+  }
+  troubled.non_blocking(true);
+  bool is_closed = false;
+  const auto begin = std::chrono::steady_clock::now();
+  REQUIRE(RunUntil([&] {
+    boost::system::error_code error;
+    troubled.write_some(boost::asio::buffer(piece), error);
+    is_closed = error && error != boost::asio::error::would_block;
+    return is_closed;
+  }));
+  CHECK(std::chrono::steady_clock::now() - begin < 1s);
+  CHECK(ReadUntil(caller, "unknown").find("502") != std::string::npos);
+}
+
 // Guards against a response to a caller's request that is taken for the result of a copy call.
 TEST_CASE_METHOD(ResponseFixture, "callResponse_namesRequest_skipped", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -52,6 +52,46 @@
   CHECK_FALSE(splitter.has_incomplete_event());
 }
 
+// Guards against time that grows with the square of the bytes read: line ends, and events that end
+// otherwise than the line ends that are searched first, stopped the whole loop (review/1).
+TEST_CASE("splitter_manyLineEnds_linearTime", "[loop]") {
+  const std::string lines = GENERATE("\r\n", "\n", "\r\n\r\nx\r\n\r\n", "a\n\n", "a\n\r\n", "\r");
+  std::string piece;
+  while (piece.size() < 65536) {
+    piece += lines;
+  }
+  EventSplitter splitter;
+  std::size_t bytes = 0;
+  const auto begin = std::chrono::steady_clock::now();
+  constexpr std::size_t kPieces = 32;
+  for (std::size_t count = 0; count < kPieces; ++count) {
+    splitter.Append(piece);
+    while (const auto event = splitter.Next()) {
+      bytes += event->bytes.size();
+    }
+  }
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds(2));
+  CHECK(bytes + splitter.incomplete_bytes() == kPieces * piece.size());
+}
+
+// Guards against blank lines that count as events: each would shift the number of those after it.
+TEST_CASE("splitter_blankLines_noEvents", "[loop]") {
+  EventSplitter splitter;
+  splitter.Append("\r\n\n\r\n\r\n");
+  CHECK_FALSE(splitter.Next());
+  CHECK_FALSE(splitter.has_incomplete_event());
+  CHECK(splitter.incomplete_bytes() == 7);
+  splitter.Append("id: 1\r\n\n\n\n");
+  const auto event = splitter.Next();
+  REQUIRE(event);
+  CHECK(event->id == 1);
+  CHECK_FALSE(splitter.Next());
+  CHECK_FALSE(splitter.has_incomplete_event());
+  splitter.Append("\r");
+  CHECK_FALSE(splitter.Next());
+  CHECK(splitter.has_incomplete_event());
+}
+
 TEST_CASE("peerLoad_roundTrip_preserved", "[loop]") {
   entry::PeerLoadReceived load;
   load.host = "host-1";
