Bound the memory of all responses together

Cause: each response is buffered up to 8 MB, with no bound for all together, and limits.memory_mb of the settings wasn't read.

Ruled out: heads, chunk heads, skipped responses and events, which are bounded and small.

Fix: responses that are received and bytes that wait for callers count against a fifth of the process's memory; over it, the largest response is broken off, never one of up to 64 KB. A large response goes to its caller's connection without a copy, a long output takes linear time, and freed large buffers go back to the system.

The soak now checks 64 MB for each daemon, and a third of the responses that its upstreams lose have no end.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -18,8 +18,12 @@
 }  // namespace
 }  // namespace internal
 
-CallerConnection::CallerConnection(ConnectionKey key, Connection::Socket socket)
-    : key_(key), connection_(std::make_shared<Connection>(std::move(socket))) {}
+CallerConnection::CallerConnection(ConnectionKey key,
+                                   Connection::Socket socket,
+                                   std::shared_ptr<MemoryAccount> output)
+    : key_(key),
+      connection_(std::make_shared<Connection>(std::move(socket))),
+      output_memory_(std::move(output)) {}
 
 void CallerConnection::Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now) {
   handlers_ = std::move(handlers);
@@ -42,6 +46,7 @@
     if (!self) {
       return;
     }
+    self->output_memory_.Set(0);
     if (self->is_closing_) {
       self->NotifyClosed();
     } else if (self->has_open_request_ && self->handlers_.on_flushed) {
@@ -124,16 +129,24 @@
 }
 
 void CallerConnection::SendResponse(std::string_view bytes, bool close) {
-  connection_->Write(bytes);
+  WriteStream(bytes);
+  FinishExchange(close);
+}
+
+void CallerConnection::SendResponse(std::string_view head, std::string&& body, bool close) {
+  connection_->Write(head);
+  connection_->WriteOwned(std::move(body));
+  output_memory_.Set(unwritten_bytes());
   FinishExchange(close);
 }
 
 void CallerConnection::WriteStream(std::string_view bytes) {
   connection_->Write(bytes);
+  output_memory_.Set(unwritten_bytes());
 }
 
 void CallerConnection::FinishStreamBody(std::string_view last_bytes, bool close) {
-  connection_->Write(last_bytes);
+  WriteStream(last_bytes);
   FinishExchange(close);
 }
 
@@ -165,6 +178,7 @@
 }
 
 void CallerConnection::NotifyClosed() {
+  output_memory_.Set(0);
   if (!notified_closed_) {
     notified_closed_ = true;
     handlers_.on_closed(key_);
@@ -173,6 +187,7 @@
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
   connection_->CheckAcknowledgements(now);
+  output_memory_.Set(unwritten_bytes());
   if (!has_open_request_ && connection_->unwritten_bytes() > 0) {
     // Nothing else ends a caller that reads nothing of its last response.
     if (now - std::max(phase_started_at_, connection_->latest_progress()) > limits_.idle_timeout) {
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -13,6 +13,7 @@
 #include "snipeturn/loop/connection.h"
 #include "snipeturn/loop/fwd.h"
 #include "snipeturn/loop/http_parser.h"
+#include "snipeturn/loop/memory_account.h"
 
 namespace snipeturn::loop {
 
@@ -38,7 +39,10 @@
     std::function<void(ConnectionKey)> on_flushed;
   };
 
-  CallerConnection(ConnectionKey key, Connection::Socket socket);
+  /// @param output Account of the bytes that wait for the caller to read them; may be null.
+  CallerConnection(ConnectionKey key,
+                   Connection::Socket socket,
+                   std::shared_ptr<MemoryAccount> output = nullptr);
 
   void Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now);
 
@@ -46,6 +50,9 @@
   /// @param close Closes the connection after the response.
   void SendResponse(std::string_view bytes, bool close);
 
+  /// @brief Sends a complete response whose body is large.
+  void SendResponse(std::string_view head, std::string&& body, bool close);
+
   /// @brief Starts or continues a streamed response.
   void WriteStream(std::string_view bytes);
 
@@ -86,6 +93,7 @@
   Handlers handlers_;
   ConnectionLimits limits_;
   std::string input_;
+  MemoryShare output_memory_;
   std::optional<HttpParser> parser_;
   /// A request was handed over and has no complete response yet.
   bool has_open_request_{false};
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -94,10 +94,22 @@
   if (!is_open_ || bytes.empty()) {
     return;
   }
+  if (output_start_ >= output_.size() / 2) {
+    output_.erase(0, std::exchange(output_start_, 0));
+  }
   output_.append(bytes.data(), bytes.size());
   Flush();
 }
 
+void Connection::WriteOwned(std::string bytes) {
+  if (!is_open_ || bytes.empty() || !output_.empty()) {
+    Write(bytes);
+    return;
+  }
+  output_ = std::move(bytes);
+  Flush();
+}
+
 void Connection::CloseAfterWrite() {
   closes_after_write_ = true;
   if (is_open_ && output_.empty()) {
@@ -225,7 +237,8 @@
     return;
   }
   boost::system::error_code error;
-  const std::size_t count = socket_.write_some(boost::asio::buffer(output_), error);
+  const std::size_t count = socket_.write_some(
+      boost::asio::buffer(output_.data() + output_start_, unwritten_bytes()), error);
   if (error && error != boost::asio::error::would_block) {
     // The next read ends the connection after the bytes that have come, unless reading is paused.
     // A broken pipe says that the peer has ended its side in order before it closed.
@@ -238,11 +251,14 @@
     return;
   }
   written_bytes_ += count;
-  output_.erase(0, count);
-  if (!output_.empty()) {
+  output_start_ += count;
+  if (unwritten_bytes() > 0) {
     AwaitWritable();
     return;
   }
+  output_start_ = 0;
+  // Gives the memory of a large output back.
+  output_.size() > internal::kReadBytes ? std::string().swap(output_) : output_.clear();
   if (closes_after_write_) {
     Close();
   }
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -51,6 +51,9 @@
   /// @brief Writes bytes, and buffers those that the socket doesn't accept yet.
   void Write(std::string_view bytes);
 
+  /// @brief Writes bytes like Write(); a large buffer isn't copied if no bytes wait before it.
+  void WriteOwned(std::string bytes);
+
   /// @brief Closes once all bytes are written; bytes that are received until then are still passed
   /// on.
   void CloseAfterWrite();
@@ -76,7 +79,9 @@
   /// @return When the peer acknowledged new bytes last, as far as this is known.
   [[nodiscard]] TimePoint latest_progress() const noexcept { return latest_progress_; }
   [[nodiscard]] bool is_open() const noexcept { return is_open_; }
-  [[nodiscard]] std::size_t unwritten_bytes() const noexcept { return output_.size(); }
+  [[nodiscard]] std::size_t unwritten_bytes() const noexcept {
+    return output_.size() - output_start_;
+  }
   /// @return Bytes that the socket has accepted so far.
   [[nodiscard]] std::uint64_t written_bytes() const noexcept { return written_bytes_; }
   [[nodiscard]] Socket& socket() noexcept { return socket_; }
@@ -93,6 +98,9 @@
   Socket socket_;
   Handlers handlers_;
   std::string output_;
+  /// Position of the first unwritten byte. Written bytes are erased seldom, so that a long output
+  /// takes linear time.
+  std::size_t output_start_{0};
   /// Error of a write, which the next read doesn't report again.
   boost::system::error_code write_error_;
   std::uint64_t written_bytes_{0};
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -16,6 +16,8 @@
 constexpr std::size_t kMaxUnwrittenBytes = 262144;
 /// Largest response body that is buffered until it is complete.
 constexpr std::size_t kMaxResponseBytes = 8U << 20U;
+/// Responses up to this size aren't broken off for the memory of all.
+constexpr std::size_t kSmallResponseBytes = 65536;
 /// Largest server-sent event; usual events have some KB.
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
 /// Largest response to a call of this host's own; a report lists all generations of an engine.
@@ -65,6 +67,7 @@
   attempt.upstream = send.upstream;
   attempt.sent_at = BootTime();
   attempt.is_stream = send.is_stream;
+  attempt.memory = MemoryShare(response_memory_);
   HttpCall call;
   call.pool = internal::PoolName(send.upstream);
   call.endpoint = send.endpoint;
@@ -140,19 +143,46 @@
     HandleStreamEvents(key, attempt);
     // The reducer may have ended the attempt in the meantime.
     const auto still_active = active_attempts_.find(key);
-    if (still_active != active_attempts_.end() &&
-        still_active->second.splitter.incomplete_bytes() > internal::kMaxEventBytes) {
+    if (still_active == active_attempts_.end()) {
+      return;
+    }
+    const std::size_t incomplete = still_active->second.splitter.incomplete_bytes();
+    if (incomplete > internal::kMaxEventBytes) {
       client_.Cancel(exchange);
       HandleAttemptEnd(key, ExchangeResult::kBroken,
                        fmt::format("{}: event too large", kUnboundedResponse));
+      return;
     }
-    return;
+    still_active->second.memory.Set(incomplete + still_active->second.events.size());
+  } else {
+    attempt.body += bytes;
+    if (attempt.body.size() > internal::kMaxResponseBytes) {
+      client_.Cancel(attempt.exchange);
+      HandleAttemptEnd(key, ExchangeResult::kBroken,
+                       fmt::format("{}: body too large", kUnboundedResponse));
+      return;
+    }
+    attempt.memory.Set(attempt.body.size());
   }
-  attempt.body += bytes;
-  if (attempt.body.size() > internal::kMaxResponseBytes) {
-    client_.Cancel(attempt.exchange);
+  LimitResponseMemory();
+}
+
+void EntryRuntime::LimitResponseMemory() {
+  while (response_memory_->is_exceeded()) {
+    const auto largest = std::max_element(
+        active_attempts_.begin(), active_attempts_.end(), [](const auto& left, const auto& right) {
+          return left.second.memory.bytes() < right.second.memory.bytes();
+        });
+    if (largest == active_attempts_.end() ||
+        largest->second.memory.bytes() <= internal::kSmallResponseBytes) {
+      return;
+    }
+    const entry::AttemptKey key = largest->first;
+    client_.Cancel(largest->second.exchange);
     HandleAttemptEnd(key, ExchangeResult::kBroken,
-                     fmt::format("{}: body too large", kUnboundedResponse));
+                     fmt::format("{}: {} bytes, and all responses together take {} of {}",
+                                 kUnboundedResponse, largest->second.memory.bytes(),
+                                 response_memory_->used, response_memory_->limit));
   }
 }
 
@@ -262,10 +292,16 @@
     return;
   }
   const bool close = state_.is_stopping || connection->must_close();
-  const std::string& body = attempt->second.body;
-  connection->SendResponse(
-      FormatResponseHead(attempt->second.head, BodyFraming::kLength, body.size(), close) + body,
-      close);
+  std::string body = std::move(attempt->second.body);
+  attempt->second.memory.Set(0);
+  const std::string head =
+      FormatResponseHead(attempt->second.head, BodyFraming::kLength, body.size(), close);
+  // A small response goes out in one packet.
+  if (body.size() <= internal::kSmallResponseBytes) {
+    connection->SendResponse(head + body, close);
+  } else {
+    connection->SendResponse(head, std::move(body), close);
+  }
 }
 
 void EntryRuntime::RelayStreamEvents(const entry::RelayEvents& relay) {
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -33,6 +33,10 @@
 /// Period of checks whether the process can exit.
 constexpr std::chrono::milliseconds kExitCheckInterval{10};
 
+/// Part (1/n) of the process's memory that responses may take together. The process itself, its
+/// tables and the growth of one buffer need the rest.
+constexpr std::size_t kResponseMemoryDivisor = 5;
+
 /// Gauges of one kind of statement of upstreams.
 struct StatementGauges {
   backpressure::SignalKind kind;
@@ -89,7 +93,9 @@
       readiness_acceptor_(context),
       metrics_acceptor_(context),
       timer_(context),
-      housekeeping_timer_(context) {
+      housekeeping_timer_(context),
+      response_memory_(std::make_shared<MemoryAccount>(
+          MemoryAccount{options_.memory / internal::kResponseMemoryDivisor, 0})) {
   state_.options = options_.entry;
 }
 
@@ -170,7 +176,7 @@
 
 void EntryRuntime::AddConnection(Connection::Socket socket, Listener kind) {
   const ConnectionKey key = next_connection_++;
-  auto connection = std::make_shared<CallerConnection>(key, std::move(socket));
+  auto connection = std::make_shared<CallerConnection>(key, std::move(socket), response_memory_);
   connections_[key] = connection;
   CallerConnection::Handlers handlers;
   switch (kind) {
@@ -239,6 +245,7 @@
        static_cast<double>(state_.quarantine.log.entries.size())},
       {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)},
       {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
+      {"snipeturn_response_memory_bytes", "", "", static_cast<double>(response_memory_->used)},
       {"snipeturn_cells_heard", "", "",
        static_cast<double>(entry::CountLiveCells(state_, BootTime()))}};
   gauges.insert(gauges.end(), own.begin(), own.end());
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -18,6 +18,7 @@
 #include "snipeturn/loop/event_splitter.h"
 #include "snipeturn/loop/http_client.h"
 #include "snipeturn/loop/log_writer.h"
+#include "snipeturn/loop/memory_account.h"
 #include "snipeturn/loop/peer_socket.h"
 #include "snipeturn/loop/wire_codec.h"
 #include "snipeturn/runtime/metrics.h"
@@ -34,6 +35,8 @@
   std::optional<Endpoint> metrics;
   /// Receives datagrams of the other hosts.
   Endpoint peer;
+  /// Memory that the process may use, in bytes; unless stated, that of the smallest host.
+  std::size_t memory{64ULL << 20U};
 };
 
 /// The entry daemon: passes the event loop's input to the reducer as events and executes the
@@ -114,6 +117,8 @@
     std::string events;
     bool has_missing_event{false};
     bool has_events{false};
+    /// What the response takes of the memory of all responses.
+    MemoryShare memory;
   };
 
   enum class Listener : std::uint8_t { kFront, kReady, kMetrics };
@@ -135,6 +140,8 @@
   void HandleSignals(const entry::UpstreamId& upstream, TimePoint sent_at, const HttpHead& head);
   void HandleResponseBody(entry::AttemptKey key, std::string&& bytes);
   void HandleStreamEvents(entry::AttemptKey key, ActiveAttempt& attempt);
+  /// Breaks off the largest responses while all together take more memory than they may.
+  void LimitResponseMemory();
   void HandleAttemptEnd(entry::AttemptKey key, ExchangeResult result, const std::string& reason);
   void CancelAttempt(entry::AttemptKey key);
   void RelayResponse(const entry::Relay& relay);
@@ -191,6 +198,8 @@
   std::optional<TimePoint> housekeeping_due_;
   /// Datagrams of other hosts up to the last housekeeping.
   std::uint64_t housekeeping_datagrams_{0};
+  /// Responses that are being received, and bytes of responses that wait for their callers.
+  std::shared_ptr<MemoryAccount> response_memory_;
   std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections_;
   std::map<ConnectionKey, entry::RequestKey> request_by_connection_;
   std::map<entry::RequestKey, OpenRequest> open_requests_;
--- a/src/snipeturn/loop/fwd.h
+++ b/src/snipeturn/loop/fwd.h
@@ -14,6 +14,7 @@
 class LogWriter;
 class PeerSocket;
 struct HttpHead;
+struct MemoryAccount;
 struct WireCodec;
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -208,9 +208,7 @@
   channel->skipped_responses = 0;
   channel->skipped_bytes = 0;
   exchange->written_bytes_before = channel->connection->written_bytes();
-  channel->connection->Write(exchange->call.bytes);
-  exchange->call.bytes.clear();
-  exchange->call.bytes.shrink_to_fit();
+  channel->connection->WriteOwned(std::exchange(exchange->call.bytes, std::string()));
 }
 
 void HttpClient::HandleBytes(const ChannelPointer& channel, std::string_view bytes) {
--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -1,6 +1,7 @@
 // The entry daemon, which serves callers on a host of the platform.
 
 #include <fmt/format.h>
+#include <malloc.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -47,6 +48,8 @@
 )";
 
 /// Period of checks whether the settings file has changed, because a change may come without
+/// Buffers from this size on go back to the system when they are freed.
+constexpr int kLargeBufferBytes = 256 << 10;
 /// SIGHUP.
 constexpr std::chrono::seconds kSettingsPollInterval{1};
 
@@ -196,6 +199,9 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
+  // The library raises this threshold with each large buffer that is freed, and then keeps the
+  // memory of the next ones.
+  ::mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
   return Daemon(path, *settings).Run();
 }
 
--- /dev/null
+++ b/test/snipeturn/loop/memory_test.cc
@@ -0,0 +1,122 @@
+#include <catch2/catch.hpp>
+
+#include "snipeturn/loop/memory_account.h"
+#include "snipeturn/loop/runtime_fixture.h"
+
+namespace snipeturn::loop {
+namespace {
+
+/// A runtime whose responses may take 1 MB together.
+class MemoryFixture : public RuntimeFixture {
+ public:
+  static constexpr std::size_t kLimit = 1U << 20U;
+
+  MemoryFixture() : RuntimeFixture(5 * kLimit) {}
+
+  /// Sends a request on a connection of its own; returns its upstream's connection.
+  tcp::socket& Send(const std::string& id) {
+    callers.emplace_back(context);
+    callers.back().connect({boost::asio::ip::address_v4::loopback(), front});
+    Write(callers.back(), RequestText(id));
+    const std::size_t before = upstream_sockets.size();
+    REQUIRE(RunUntil([&] { return IsUpstreamReached() && upstream_sockets.size() > before; }));
+    REQUIRE(ReadUntil(upstream_sockets.back(), "body").find(id) != std::string::npos);
+    upstream_sockets.back().non_blocking(true);
+    return upstream_sockets.back();
+  }
+
+  /// Bytes that responses take, by the metrics.
+  double UsedMemory() {
+    const std::string text = ReadMetrics();
+    const std::size_t found = text.find("\nsnipeturn_response_memory_bytes");
+    REQUIRE(found != std::string::npos);
+    return std::stod(text.substr(text.find(' ', found)));
+  }
+
+  std::vector<tcp::socket> callers;
+};
+
+TEST_CASE("share_ends_givesBackItsBytes", "[loop]") {
+  const auto account = std::make_shared<MemoryAccount>(MemoryAccount{100, 0});
+  MemoryShare first(account);
+  first.Set(80);
+  CHECK_FALSE(account->HasRoomFor(30));
+  {
+    MemoryShare second(account);
+    second.Set(30);
+    CHECK(account->is_exceeded());
+    MemoryShare moved = std::move(second);
+    CHECK(account->used == 110);
+    first = std::move(moved);
+    CHECK(account->used == 30);
+  }
+  CHECK(account->used == 30);
+  first.Set(0);
+  CHECK(account->HasRoomFor(1000));
+}
+
+// Guards against answers without end that take all of the memory together although each is below
+// its own limit: the process is killed, and the requests of all callers end with it (issue 40).
+TEST_CASE_METHOD(MemoryFixture, "responses_withoutEnd_boundedTogether", "[loop]") {
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nConnection: close\r\nRequest-Id: r";
+  constexpr int kTroubled = 4;
+  std::vector<std::size_t> troubled;
+  for (int number = 0; number < kTroubled; ++number) {
+    Write(Send("r" + std::to_string(number)), head + std::to_string(number) + "\r\n\r\n");
+    troubled.push_back(upstream_sockets.size() - 1);
+  }
+  tcp::socket& sound = Send("r9");
+  const std::string piece(32768, 'x');
+  int closed = 0;
+  double most = 0;
+  for (int round = 0; round < 200 && closed < kTroubled; ++round) {
+    for (std::size_t& place : troubled) {
+      boost::system::error_code error;
+      if (upstream_sockets[place].is_open()) {
+        upstream_sockets[place].write_some(boost::asio::buffer(piece), error);
+      }
+      if (error && error != boost::asio::error::would_block) {
+        upstream_sockets[place].close();
+        ++closed;
+      }
+    }
+    RunFor(2ms);
+    if (round % 10 == 0) {
+      most = std::max(most, UsedMemory());
+    }
+  }
+  CHECK(closed >= kTroubled - 1);
+  CHECK(most <= kLimit);
+  CHECK(most > kLimit / 4);
+  Write(sound, head + "9\r\nContent-Length: 4\r\n\r\nsold");
+  CHECK(ReadUntil(callers.back(), "sold").find("200 OK") != std::string::npos);
+  CHECK(ReadUntil(callers.front(), "unknown").find("502") != std::string::npos);
+}
+
+// Guards against a large response that is broken off although it fits, and against memory that is
+// never given back.
+TEST_CASE_METHOD(MemoryFixture, "response_large_passedOnAndGivenBack", "[loop]") {
+  tcp::socket& upstream = Send("r1");
+  const std::string body(900000, 'x');
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: r1\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  std::size_t sent = 0;
+  std::string received;
+  callers.back().non_blocking(true);
+  REQUIRE(RunUntil([&] {
+    boost::system::error_code error;
+    sent += upstream.write_some(boost::asio::buffer(response.data() + sent, response.size() - sent),
+                                error);
+    std::vector<char> buffer(65536);
+    received.append(buffer.data(), callers.back().read_some(boost::asio::buffer(buffer), error));
+    return received.size() > body.size() &&
+           received.compare(received.size() - body.size(), body.size(), body) == 0;
+  }));
+  RunFor(20ms);
+  CHECK(UsedMemory() == 0);
+}
+
+}  // namespace
+}  // namespace snipeturn::loop
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -19,9 +19,10 @@
 /// caller that keeps its connection open.
 class RuntimeFixture : public LoopFixture {
  public:
-  RuntimeFixture()
+  /// @param memory Memory of the process, in bytes.
+  explicit RuntimeFixture(std::size_t memory = RuntimeOptions{}.memory)
       : log("host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        runtime(context, MakeOptions(), platform::EntryWireCodec(), log),
+        runtime(context, MakeOptions(memory), platform::EntryWireCodec(), log),
         caller(context) {
     REQUIRE_FALSE(runtime.Start());
     entry::DesiredState desired;
@@ -80,9 +81,10 @@
     return tcp::acceptor(own, {boost::asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
   }
 
-  RuntimeOptions MakeOptions() {
+  RuntimeOptions MakeOptions(std::size_t memory) {
     front = FreePort();
     RuntimeOptions options;
+    options.memory = memory;
     options.entry.host = "host-1";
     options.entry.zone = "zone-a";
     options.entry.bounds.grace = 1500ms;
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -17,6 +17,8 @@
 PAUSE_S = 1.5
 PAUSE_GRACE_S = 0.5
 MAX_REQUESTS_IN_PAUSE = 2
+# Of so many requests that an upstream loses, one gets an answer without end.
+ENDLESS_ANSWERS = 3
 # Time by which the end of a stream that was stopped for a move comes after the reply to the call.
 LATE_STREAM_END_S = 0.15
 # Time for which two engines may work on one request, and for which a disturbed link excuses it.
@@ -419,11 +421,13 @@
             return True
         self.record_execution(request)
         await asyncio.sleep(self.world.call_s)
-        if self.fault == "lose":
+        if self.fault == "lose" and request_number(request) % ENDLESS_ANSWERS:
             writer.transport.abort()
             return False
         if self.fault == "hang":
             await asyncio.sleep(3)
+        if self.fault in ("endless", "lose"):
+            await self.send_without_end(writer, request)
         response_bytes = response(200, f"{request}:{len(body)}".encode(),
                                   [("Request-Id", request), ("Response-Stamp", self.name)] +
                                   self.leaving_field())
@@ -434,6 +438,14 @@
                                   [("Request-Id", "other"), ("Response-Stamp", "x")]))
         return True
 
+    async def send_without_end(self, writer, request):
+        """Answers with bytes until the daemon closes."""
+        writer.write((f"HTTP/1.1 200 OK\r\nRequest-Id: {request}\r\nResponse-Stamp: {self.name}\r\n"
+                      "Connection: close\r\n\r\n").encode())
+        while True:
+            writer.write(b"x" * 65536)
+            await writer.drain()
+
     async def generate(self, writer, fields):
         request = fields["request-id"]
         self.world.engines_by_request.setdefault(request, []).append(self)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -36,6 +36,8 @@
 PROBE_S = 0.04
 # Time limit that callers send, and its part that counts as the whole: an answer may come earlier.
 DEADLINE_S, DEADLINE_SHARE = 5.0, 0.95
+# Memory that a daemon may use: that of the smallest host, as its settings state none.
+MEMORY_MB = 64
 # Time to the first event and between events, in seconds, of the kinds of engines. A stop with the
 # grace period of the soak can end all streams of the first kind and hardly any of the last.
 ENGINE_SPEEDS = ((0.03, 0.01), (0.4, 0.03), (1.2, 0.05), (2.0, 0.2))
@@ -382,10 +384,25 @@
         await asyncio.sleep(away_s)
         await self.store.restore(self.copies[-1][1])
 
+    def check_memory(self):
+        """Checks the memory of the daemons that run."""
+        for daemon in self.daemons:
+            if daemon.process is None or daemon.process.returncode is not None:
+                continue
+            try:
+                with open(f"/proc/{daemon.process.pid}/status") as status:
+                    lines = dict(line.split(":", 1) for line in status)
+            except OSError:
+                continue
+            memory_mb = int(lines.get("RssAnon", "0 kB").split()[0]) / 1024
+            if memory_mb > MEMORY_MB:
+                self.fail(f"MEMORY: {daemon.name} holds {memory_mb:.0f} MB")
+
     async def beat(self):
         """Publishes the entries of all upstreams periodically."""
         while True:
             await asyncio.sleep(0.4)
+            self.check_memory()
             for upstream in list(self.upstreams if self.has_rewritten else ()):
                 await self.store.put("keyed.servers", upstream.name, upstream.entry())
 
