Give comments of event streams no number

Cause: each block of lines counted as an event; one without an id took the next number, so that the event with that number counted as a repeat.

Fix: a block without data and id is no event. It is passed on before the next event, and falls under the bound of what belongs to no event, so that comments without end break the stream off.

Evidence: stream_commentsBetweenEvents_noEventDropped and stream_commentsWithoutEnd_broken fail without the change and pass; splitter_blockWithoutData_noEvent.

--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -146,7 +146,8 @@
     if (still_active == active_attempts_.end()) {
       return;
     }
-    const std::size_t incomplete = still_active->second.splitter.incomplete_bytes();
+    const std::size_t incomplete =
+        still_active->second.splitter.incomplete_bytes() + still_active->second.comments.size();
     if (incomplete > internal::kMaxEventBytes) {
       client_.Cancel(exchange);
       HandleAttemptEnd(key, ExchangeResult::kBroken,
@@ -194,6 +195,10 @@
   std::uint64_t& last_id = open_request->second.last_event_id;
   bool has_new_events = false;
   while (auto event = attempt.splitter.Next()) {
+    if (!event->has_data && !event->id) {
+      attempt.comments += event->bytes;
+      continue;
+    }
     const std::uint64_t id = event->id.value_or(last_id + 1);
     if (id <= last_id) {
       metrics_.Add(AddToCounter{kDroppedReplies, "repeated_event", 1});
@@ -204,7 +209,9 @@
       break;
     }
     last_id = id;
+    attempt.events += attempt.comments;
     attempt.events += event->bytes;
+    attempt.comments.clear();
     has_new_events = true;
   }
   attempt.has_events = attempt.has_events || has_new_events;
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -115,6 +115,8 @@
     EventSplitter splitter;
     /// Complete events that are not yet relayed.
     std::string events;
+    /// Comments, and other blocks without data, since the last event; they precede the next one.
+    std::string comments;
     bool has_missing_event{false};
     bool has_events{false};
     /// What the response takes of the memory of all responses.
--- a/src/snipeturn/loop/event_splitter.cc
+++ b/src/snipeturn/loop/event_splitter.cc
@@ -1,30 +1,47 @@
 #include "snipeturn/loop/event_splitter.h"
 
 #include <charconv>
+#include <utility>
 
 namespace snipeturn::loop {
 namespace internal {
 namespace {
 
-std::optional<std::uint64_t> FindId(std::string_view event) {
-  constexpr std::string_view kField = "id:";
-  while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
-    if (line.substr(0, kField.size()) != kField) {
-      continue;
-    }
-    line.remove_prefix(kField.size());
-    if (!line.empty() && line.front() == ' ') {
-      line.remove_prefix(1);
+/// Returns the value of a line "name: value" or "name:value"; nothing for another line.
+std::optional<std::string_view> FieldValue(std::string_view line, std::string_view name) {
+  if (line.substr(0, name.size()) != name) {
+    return std::nullopt;
+  }
+  line.remove_prefix(name.size());
+  if (line.empty()) {
+    return line;
+  }
+  if (line.front() != ':') {
+    return std::nullopt;
+  }
+  line.remove_prefix(line.size() > 1 && line[1] == ' ' ? 2 : 1);
+  return line;
+}
+
+StreamEvent ParseEvent(std::string bytes) {
+  StreamEvent event;
+  event.bytes = std::move(bytes);
+  std::string_view rest = event.bytes;
+  while (!rest.empty()) {
+    const std::size_t end = rest.find('\n');
+    std::string_view line = rest.substr(0, end);
+    rest.remove_prefix(end == std::string_view::npos ? rest.size() : end + 1);
+    if (!line.empty() && line.back() == '\r') {
+      line.remove_suffix(1);
     }
+    event.has_data = event.has_data || FieldValue(line, "data");
+    const auto text = event.id ? std::nullopt : FieldValue(line, "id");
     std::uint64_t id = 0;
-    if (std::from_chars(line.data(), line.data() + line.size(), id).ec == std::errc{}) {
-      return id;
+    if (text && std::from_chars(text->data(), text->data() + text->size(), id).ec == std::errc{}) {
+      event.id = id;
     }
   }
-  return std::nullopt;
+  return event;
 }
 
 }  // namespace
@@ -41,9 +58,8 @@
     const bool is_blank = line.empty() || line == "\r";
     searched_ = line_start_ = line_end + 1;
     if (is_blank && has_content_) {
-      StreamEvent event;
-      event.bytes = buffer_.substr(event_start_, line_start_ - event_start_);
-      event.id = internal::FindId(event.bytes);
+      StreamEvent event =
+          internal::ParseEvent(buffer_.substr(event_start_, line_start_ - event_start_));
       event_start_ = line_start_;
       has_content_ = false;
       return event;
--- a/src/snipeturn/loop/event_splitter.h
+++ b/src/snipeturn/loop/event_splitter.h
@@ -12,6 +12,8 @@
   std::string bytes;
   /// Number in the "id" line, if there is one.
   std::optional<std::uint64_t> id;
+  /// Without data it is a comment or fields alone, which the media type doesn't count as an event.
+  bool has_data{false};
 };
 
 /// Splits a response body into server-sent events; only complete events are returned. Blank lines
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -123,6 +123,39 @@
   }
 }
 
+// Guards against events that are dropped behind a comment, which took the next number, so that the
+// stream ended as complete without them.
+TEST_CASE_METHOD(ResponseFixture, "stream_commentsBetweenEvents_noEventDropped", "[loop]") {
+  const std::string id = GENERATE("", "id: 1\n");
+  tcp::socket& upstream = Send("r1", "/long/a");
+  Write(upstream, std::string(kStreamHead) + "Connection: close\r\n\r\n: hello\n\n");
+  RunFor(20ms);
+  Write(upstream, id + "data: one\n\n: ping\n\nretry: 5\n\n");
+  const std::string first = ReadUntil(caller, "data: one\n\n");
+  CHECK(first.find(": hello\n\n") < first.find("data: one"));
+  Write(upstream, (id.empty() ? "" : "id: 2\n") + std::string("data: two\n\n: bye\n\n"));
+  CHECK(ReadUntil(caller, "data: two\n\n").find(": ping\n\n") != std::string::npos);
+  upstream.shutdown(tcp::socket::shutdown_both);
+  CHECK(ReadUntil(caller, "0\r\n\r\n").find("0\r\n\r\n") != std::string::npos);
+}
+
+// Guards against comments without end: they belong to no event, so that nothing else bounds them.
+TEST_CASE_METHOD(ResponseFixture, "stream_commentsWithoutEnd_broken", "[loop]") {
+  tcp::socket& troubled = Send("r1", "/long/a");
+  Write(troubled, std::string(kStreamHead) + "Connection: close\r\n\r\n");
+  std::string piece;
+  while (piece.size() < 65536) {
+    piece += ": ping\n\n";
+  }
+  troubled.non_blocking(true);
+  CHECK(RunUntil([&] {
+    boost::system::error_code error;
+    troubled.write_some(boost::asio::buffer(piece), error);
+    return error && error != boost::asio::error::would_block;
+  }));
+  CHECK(ReadUntil(caller, "unknown").find("502") != std::string::npos);
+}
+
 // Guards against one stream of line ends without end that keeps the loop from all other requests
 // (review/1).
 TEST_CASE_METHOD(ResponseFixture,
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -74,6 +74,19 @@
   CHECK(bytes + splitter.incomplete_bytes() == kPieces * piece.size());
 }
 
+// Guards against a comment that takes the number of the event after it.
+TEST_CASE("splitter_blockWithoutData_noEvent", "[loop]") {
+  const std::string block =
+      GENERATE(": ping\n\n", ":\r\n\r\n", "retry: 5\n\n", "event: x\n\n", "database: 1\n\n");
+  EventSplitter splitter;
+  splitter.Append(block + "data: a\n\n" + "data\n\n" + "event: x\r\ndata:b\r\n\r\n");
+  CHECK_FALSE(splitter.Next().value().has_data);
+  for (int event = 0; event < 3; ++event) {
+    CHECK(splitter.Next().value().has_data);
+  }
+  CHECK_FALSE(splitter.Next());
+}
+
 // Guards against blank lines that count as events: each would shift the number of those after it.
 TEST_CASE("splitter_blankLines_noEvents", "[loop]") {
   EventSplitter splitter;
