Keep a stated limit until a response ends it

Cause: a limit ended when no response had repeated it for 10 s. An upstream that gets no requests can't repeat it.

A limit known from other hosts holds for as long as they repeat it.

--- a/src/snipeturn/backpressure/rate_limit.cc
+++ b/src/snipeturn/backpressure/rate_limit.cc
@@ -14,8 +14,8 @@
 constexpr std::chrono::duration<double> kBurst{0.2};
 /// Requests that a host may be in debt: a generation is continued even if no token is left.
 constexpr double kMaxDebt = 2;
-/// A limit that nobody has repeated for this long, or for this number of requests at its rate, no
-/// longer holds.
+/// A limit of which only other hosts have heard, and which none of them has repeated for this long,
+/// or for this number of requests at its rate, no longer holds.
 constexpr std::chrono::duration<double> kMinTtl{10};
 constexpr double kTtlRequests = 4;
 /// How long the end of a limit is told to other hosts: several load tables, of which some get lost.
@@ -40,8 +40,12 @@
 
 bool AdoptStatement(RateLimit& limit, const LimitStatement& statement, TimePoint now) noexcept {
   if (statement.at <= limit.stated_at) {
+    if (statement.requests_per_second == limit.requests_per_second) {
+      limit.heard_at = now;
+    }
     return false;
   }
+  limit.heard_at = now;
   const bool has_changed = limit.requests_per_second != statement.requests_per_second;
   if (has_changed) {
     limit.changed_at = now;
@@ -53,17 +57,18 @@
   limit.requests_per_second = statement.requests_per_second;
   limit.stated_at = statement.at;
   limit.is_own = statement.is_own;
+  limit.binds_host = statement.requests_per_second && (statement.is_own || limit.binds_host);
   return has_changed;
 }
 
 bool HasExpired(const RateLimit& limit, TimePoint now) noexcept {
   using namespace internal;
-  if (!limit.requests_per_second) {
+  if (!limit.requests_per_second || limit.binds_host) {
     return false;
   }
   const std::chrono::duration<double> repeated(kTtlRequests /
                                                std::max(kMinRate, *limit.requests_per_second));
-  return now - limit.stated_at > std::max(kMinTtl, repeated);
+  return now - limit.heard_at > std::max(kMinTtl, repeated);
 }
 
 bool IsReported(const RateLimit& limit, TimePoint now) noexcept {
--- a/src/snipeturn/backpressure/rate_limit.h
+++ b/src/snipeturn/backpressure/rate_limit.h
@@ -14,10 +14,14 @@
   std::optional<double> requests_per_second;
   /// Time of the statement; a newer statement replaces an older one.
   TimePoint stated_at{};
+  /// Last time that a host, or the upstream itself, stated it.
+  TimePoint heard_at{};
   /// Last time that the limit began, changed or ended.
   TimePoint changed_at{};
   /// This host had the statement from the upstream itself, and tells other hosts about it.
   bool is_own{false};
+  /// The upstream itself has stated a limit to this host, and nothing has ended it since.
+  bool binds_host{false};
   double tokens{0};
   TimePoint refilled_at{};
 };
@@ -44,8 +48,8 @@
 /// @return True if the limit begins, changes or ends.
 bool AdoptStatement(RateLimit& limit, const LimitStatement& statement, TimePoint now) noexcept;
 
-/// @brief Tells whether a limit has not been repeated for so long that it no longer holds. Hosts
-///     that keep it send often enough to hear it several times until then.
+/// @brief Tells whether a limit no longer holds since no host repeats it. One that this host has
+///     heard from the upstream holds until a response states another or none.
 [[nodiscard]] bool HasExpired(const RateLimit& limit, TimePoint now) noexcept;
 
 /// @brief Tells whether other hosts should hear of the last statement from this host.
