Read what callers have sent once more before the process exits, then close at once

Cause: the check of the exit looked at the requests that the loop had read. One that came after the loop had last waited for bytes, while other handlers ran, stayed in the socket, and its caller got a reset in place of an answer. The sockets were closed only with the rest of the process.

Ruled out: a check that runs before bytes that came earlier. The loop handles readable sockets before timers of the same wait, and a wait that a stop signal interrupts is repeated first.

Conclusion: what has come by the last check is refused, also at the end of the grace period; callers' connections end before the rest of the process is taken down. What comes in the moment between is still reset unread, as at any process that ends.

--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -69,6 +69,9 @@
   ///     arrive too slowly. Keeps a caller that reads slowly from being taken for unreachable.
   void CheckTimeouts(TimePoint now);
 
+  /// @brief Reads what the caller has already sent.
+  void ReadPending() { connection_->ReadPending(); }
+
   /// @return True when no request is open, no byte of one has arrived, and all responses are sent.
   [[nodiscard]] bool is_idle() const noexcept {
     return !has_open_request_ && !is_closing_ && !parser_->has_begun() && unwritten_bytes() == 0;
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -192,6 +192,12 @@
                      });
 }
 
+void Connection::ReadPending() {
+  if (is_open_ && is_reading_) {
+    ReadAvailable();
+  }
+}
+
 void Connection::ReadAvailable() {
   auto& buffer = internal::ReadBuffer();
   for (int reads = 0; reads < internal::kMaxReadsPerWakeup && is_open_ && is_reading_; ++reads) {
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -64,6 +64,9 @@
   /// @brief Pauses or resumes reading, for back pressure.
   void SetReading(bool is_reading);
 
+  /// @brief Reads what has already come, unless reading is paused.
+  void ReadPending();
+
   /// @brief Extends the time limit on unacknowledged bytes while the peer's host acknowledges
   ///     probes although its receive window is full. To be called several times a second; without
   ///     support by the socket the time limit stays as it is.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -530,15 +530,40 @@
   log_.Flush();
 }
 
+bool EntryRuntime::AreCallersIdle() const {
+  return std::all_of(connections_.begin(), connections_.end(),
+                     [](const auto& entry) { return entry.second->is_idle(); });
+}
+
+void EntryRuntime::ReadPendingRequests() {
+  // A request can end its connection, which removes it from the table.
+  const std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections = connections_;
+  for (const auto& [key, connection] : connections) {
+    connection->ReadPending();
+  }
+}
+
+void EntryRuntime::CloseCallers() {
+  const std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections = connections_;
+  for (const auto& [key, connection] : connections) {
+    connection->Abort();
+  }
+}
+
 void EntryRuntime::AwaitExit(TimePoint earliest, TimePoint deadline) {
   const TimePoint now = BootTime();
   LogLoopDelay(now);
   CheckConnectionTimeouts(now);
   log_.Flush();
-  const bool are_idle = std::all_of(connections_.begin(), connections_.end(),
-                                    [](const auto& entry) { return entry.second->is_idle(); });
-  if (now >= deadline || (are_idle && now >= earliest)) {
+  const auto may_exit = [&] { return now >= deadline || (now >= earliest && AreCallersIdle()); };
+  if (may_exit()) {
+    // Requests may have come since the loop last waited for them.
+    ReadPendingRequests();
+  }
+  if (may_exit()) {
     LogExit();
+    // The rest of the process takes longer to end.
+    CloseCallers();
     context_.stop();
     return;
   }
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -166,6 +166,9 @@
   /// passes, and ends the loop.
   void Stop(TimePoint deadline);
   void AwaitExit(TimePoint earliest, TimePoint deadline);
+  [[nodiscard]] bool AreCallersIdle() const;
+  void ReadPendingRequests();
+  void CloseCallers();
   void LogExit();
   /// Accepts the connections that the system has already established.
   void AcceptPending(Acceptor& acceptor, Listener kind);
--- a/test/snipeturn/loop/entry_runtime_stop_test.cc
+++ b/test/snipeturn/loop/entry_runtime_stop_test.cc
@@ -27,6 +27,32 @@
   CHECK_FALSE(IsUpstreamReached());
 }
 
+// Guards against a request that came after the loop last waited for bytes, and ends without a
+// response with the process.
+TEST_CASE_METHOD(StopFixture, "request_comesBeforeLastCheck_refused", "[loop]") {
+  // The end of the grace period is far.
+  entry::Bounds bounds = runtime.state().options.bounds;
+  bounds.grace = 8000ms;
+  runtime.Apply(entry::OptionsChanged{bounds});
+  runtime.Apply(entry::ShutdownRequested{});
+  RunFor(2400ms);
+  REQUIRE(RunUntil([this] { return runtime.is_stopped(); }));
+  boost::asio::steady_timer before_check(context, std::chrono::steady_clock::now());
+  before_check.async_wait(
+      [this](const boost::system::error_code& /*error*/) { Write(caller, RequestText("r1")); });
+  // Both this timer and the check of the exit are due when the loop runs again.
+  std::this_thread::sleep_for(200ms);
+  RunFor(2s);
+  // The process ends here, so nothing may run the loop again.
+  REQUIRE(context.stopped());
+  caller.non_blocking(true);
+  std::string response(4096, ' ');
+  boost::system::error_code error;
+  response.resize(caller.read_some(boost::asio::buffer(response), error));
+  CHECK(response.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK_FALSE(IsUpstreamReached());
+}
+
 // Guards against a caller whose connection was established but not yet accepted at the exit.
 TEST_CASE_METHOD(StopFixture, "connection_waitingAtExit_acceptedAndRefused", "[loop]") {
   tcp::socket late(context);
