Stand-ins: the end of a connection is no longer taken for that of a later one from its port

Cause: the HTTP server of the stand-ins finds a request's connection by the client's port.

Ruled out: the daemons, which have no such table.

Before: connection_from_reused_port_is_served failed (the stand-in was gone). After: standins_test 16 passed, 0 failed.

Conclusion: each connection keeps its own entry and removes no other.

--- a/standins/common/http_server.cc
+++ b/standins/common/http_server.cc
@@ -24,7 +24,7 @@
 constexpr int kListenBacklog = 511;
 constexpr std::size_t kStreamBlockBytes = 4096;
 
-/// Port of a client; identifies its connection, as all clients are on loopback.
+/// Port of a client, by which requests find their connection, as all clients are on loopback.
 int ClientPort(const sockaddr* address) {
   return ntohs(reinterpret_cast<const sockaddr_in*>(address)->sin_port);
 }
@@ -125,7 +125,7 @@
 
   static void OnConnectionEvent(void* data,
                                 MHD_Connection* connection,
-                                void** /*context*/,
+                                void** context,
                                 MHD_ConnectionNotificationCode code) {
     auto& impl = *static_cast<Impl*>(data);
     const auto* address = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
@@ -133,9 +133,18 @@
     const int client = internal::ClientPort(address->client_addr);
     const std::lock_guard lock{impl.mutex};
     if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-      impl.connections[client] = std::make_shared<Connection>(socket->connect_fd);
-    } else if (const auto found = impl.connections.find(client); found != impl.connections.end()) {
-      found->second->MarkClosed();
+      auto* started =
+          new std::shared_ptr<Connection>{std::make_shared<Connection>(socket->connect_fd)};
+      impl.connections[client] = *started;
+      *context = started;
+      return;
+    }
+    const std::unique_ptr<std::shared_ptr<Connection>> closed{
+        static_cast<std::shared_ptr<Connection>*>(*context)};
+    (*closed)->MarkClosed();
+    // After a reset the client's port may already be in use for another connection.
+    if (const auto found = impl.connections.find(client);
+        found != impl.connections.end() && found->second == *closed) {
       impl.connections.erase(found);
     }
   }
--- a/test/process/standins_test.py
+++ b/test/process/standins_test.py
@@ -6,6 +6,8 @@
 import http.client
 import json
 import os
+import socket
+import struct
 import tempfile
 import time
 
@@ -100,6 +102,25 @@
         assert read["records"] == [] and read["oldest"] == read["next"] == codes.count(200), read
 
 
+def connection_from_reused_port_is_served(build):
+    """Guards against a simulator that takes the end of a connection for that of a later one from
+    the same port, which a client can use again at once after a reset."""
+    with SimulatorRun(build, "standin_log") as log:
+        first = socket.create_connection((ADDRESS, log.port))
+        first.sendall(b"GET /streams/a/records?from=0&limit=1&wait_ms=1000 HTTP/1.1\r\n"
+                      b"Host: h\r\n\r\n")
+        time.sleep(0.2)
+        own = first.getsockname()
+        first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        first.close()
+        second = socket.create_connection((ADDRESS, log.port), source_address=own)
+        time.sleep(1.5)
+        second.sendall(b"GET /streams/a/records?from=0&limit=1 HTTP/1.1\r\nHost: h\r\n\r\n")
+        second.settimeout(5)
+        assert second.recv(100).startswith(b"HTTP/1.1 200"), "no response"
+        second.close()
+
+
 def host_list_lags_freezes_and_expires(build):
     """Guards against a host list that ignores its lag, its freeze or its expiry."""
     def listed(log):
@@ -287,6 +308,7 @@
     log_answer_lost_append_took_effect,
     log_outage_append_has_no_effect,
     log_rate_and_retention_are_bounded,
+    connection_from_reused_port_is_served,
     host_list_lags_freezes_and_expires,
     engine_stream_is_exact_and_resumable,
     engine_overloaded_records_peak_and_refuses,
