Loop tests keep the ports that they draw

A socket that is bound but doesn't listen now keeps each port while the fixture exists; the runtime binds it as both allow reuse.

Ruled out: ports below the ephemeral range, which two processes may draw at the same time as well.

--- a/test/snipeturn/loop/entry_runtime_peers_test.cc
+++ b/test/snipeturn/loop/entry_runtime_peers_test.cc
@@ -26,7 +26,7 @@
       EncodeConfirmationRequest("host-2", entry::RequestConfirmation{"host-1", TimePoint{}});
   const auto until = std::chrono::steady_clock::now() + 1s;
   int handled = 0;
-  const std::uint16_t port = RuntimeFixture::FreePort();
+  const std::uint16_t port = FreePort();
   const udp::endpoint own(boost::asio::ip::address_v4::loopback(), port);
   PeerSocket peer_socket(context, "host-1", {"127.0.0.1", port}, [&](PeerMessage&& /*message*/) {
     ++handled;
--- a/test/snipeturn/loop/loop_fixture.h
+++ b/test/snipeturn/loop/loop_fixture.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "snipeturn/base/host.h"
 
@@ -20,6 +21,15 @@
  public:
   LoopFixture() : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}) {}
 
+  /// Returns a port that no other process is given while the fixture exists, as a socket that
+  /// doesn't listen stays bound to it.
+  std::uint16_t FreePort() {
+    tcp::socket& socket = held_ports.emplace_back(context, tcp::v4());
+    socket.set_option(boost::asio::socket_base::reuse_address(true));
+    socket.bind({boost::asio::ip::address_v4::loopback(), 0});
+    return socket.local_endpoint().port();
+  }
+
   Endpoint endpoint() const { return {"127.0.0.1", acceptor.local_endpoint().port()}; }
 
   /// Runs the loop until the condition holds, for at most two seconds; returns whether it holds.
@@ -67,6 +77,7 @@
   }
 
   boost::asio::io_context context;
+  std::vector<tcp::socket> held_ports;
   tcp::acceptor acceptor;
 };
 
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -76,11 +76,6 @@
     return upstream;
   }
 
-  static std::uint16_t FreePort() {
-    boost::asio::io_context own;
-    return tcp::acceptor(own, {boost::asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
-  }
-
   RuntimeOptions MakeOptions(std::size_t memory) {
     front = FreePort();
     RuntimeOptions options;
