Process tests: daemons run in sessions of their own

Cause: the kernel sends SIGHUP to a process group that becomes orphaned while a member is stopped.

Ruled out: a fault of snipeturnd; the signal comes from the kernel.

--- a/test/process/cluster.py
+++ b/test/process/cluster.py
@@ -154,8 +154,10 @@
 
     def start(self, stdout=subprocess.DEVNULL):
         with open(self.log_path, "ab") as log:
-            self.child = subprocess.Popen(
-                self.command, stdin=subprocess.DEVNULL, stdout=stdout, stderr=log)
+            # The kernel sends SIGHUP to a process group that becomes orphaned while a member is
+            # stopped, as when the shell that started the test ends.
+            self.child = subprocess.Popen(self.command, stdin=subprocess.DEVNULL, stdout=stdout,
+                                          stderr=log, start_new_session=True)
 
     @property
     def running(self):
