A resume that no engine has begun gives a stream no further run

Cause: a request that ended unsent or as not executed was sent again whatever its number of runs, as an attempt that didn't run isn't counted. A resume from a copy isn't counted either, so when it couldn't be sent, a stream that had had all its runs got another one (BUDGET): lost at its first engine before the first event, run again, lost there during a move, the target not reached.

Before: stream_allRunsUsedAndResumeUnsent_broken failed (a third run was sent).

Conclusion: the number of runs is a limit for each way to send a request again.

--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -129,10 +129,11 @@
 /// Retries a request if that is allowed. Returns true if it was sent or queued.
 bool RetryRequest(EventScope& scope, Request& request, AttemptResult result) {
   const int max_attempts = result == AttemptResult::kUnsent ? kMaxUnsentAttempts : kMaxAttempts;
-  const bool is_allowed = DidNotRun(result)
-                              ? request.sends < max_attempts
-                              : IsRepeatable(request) && request.runs < request.max_upstreams &&
-                                    request.sends < kMaxAttempts;
+  // A resume that didn't run may follow as many runs as are allowed.
+  const bool is_allowed =
+      request.runs < request.max_upstreams &&
+      (DidNotRun(result) ? request.sends < max_attempts
+                         : IsRepeatable(request) && request.sends < kMaxAttempts);
   if (!is_allowed || !MayRetryPrompt(scope.state, request) || WouldOutliveProcess(scope, request)) {
     return false;
   }
--- a/test/snipeturn/entry/resume_test.cc
+++ b/test/snipeturn/entry/resume_test.cc
@@ -151,6 +151,28 @@
   }
 }
 
+// Guards against a further run of a stream that has had all its runs, after a resume that no engine
+// has begun.
+TEST_CASE_METHOD(ResumeFixture, "stream_allRunsUsedAndResumeUnsent_broken", "[entry]") {
+  const Send first = StartResumableStream(0);
+  EndAttempt(first.attempt, AttemptResult::kBroken, 0);
+  const Send second = EffectsOf<Send>().at(0);
+  DeliverEvents(second.attempt, 2);
+  AddUpstream("engine-3", "engines");
+  AddUpstream("engine-4", "engines");
+  state.requests.begin()->second.expected_output_tokens = 2000;
+  MarkLeaving(state.upstreams.at(second.upstream).entry);
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kCopied, 2);
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kCopied, 2);
+  REQUIRE(EffectsOf<Send>().at(0).resume);
+  while (EffectsOf<BreakStream>().empty()) {
+    REQUIRE(EffectsOf<Send>().size() == 1);
+    REQUIRE(EffectsOf<Send>()[0].resume);
+    EndAttempt(EffectsOf<Send>()[0].attempt, AttemptResult::kUnsent, 0);
+  }
+  CHECK(EffectsOf<Send>().empty());
+}
+
 // Guards against a copy that keeps engine memory after its stream continued with a new generation.
 TEST_CASE_METHOD(ResumeFixture, "stream_migrationFails_rerunAndCopyFreed", "[entry]") {
   const Send first = StartResumableStream(2);
