Crash reports: hosts that begin answers correct the rate of a host that begins none

Cause: a part is suspected once as many losses in a row are improbable for a sound part, by the rate of answers that the host of the losses estimates: its own answers times the number of hosts.

Each host that hears of a lost attempt now compares the reported rate with its own answers alone, a lower bound of the sum, and reports the attempt again if its rate is 1.5 times as high. Reports are spread over 100 ms, and one that a higher one overtakes isn't sent.

Ruled out: fewer crashes for a suspicion, which would hold sound prompts back where engines crash by themselves; rates in the load tables, which every table would carry for an event that is rare.

Before: deadlyPart_hostWithoutAnswers_heldBack: 8, 8 and 10 crashes at 2, 7 and 40 hosts, and 5 deadly requests after the fifth crash at 40 hosts. After: at most 6 crashes and 3 such requests, no sound request refused; the other eight tests of [entry_crash] pass.

--- a/src/snipeturn/entry/crash_reports.cc
+++ b/src/snipeturn/entry/crash_reports.cc
@@ -28,6 +28,10 @@
 constexpr std::chrono::milliseconds kRepeatDelay{200};
 /// Range of the delay before answers are reported, so that one host reports them for all.
 constexpr std::chrono::milliseconds kAnswerReportSpread{100};
+/// Least factor by which a host's own rate of answers exceeds a reported one to be reported.
+constexpr double kMinRateCorrection = 1.5;
+/// Greatest age of a lost attempt for which the present rate of answers counts.
+constexpr std::chrono::milliseconds kMaxRateAge{1000};
 /// Period of reviews while entries are confirmed, reported and held.
 constexpr std::chrono::milliseconds kReviewInterval{50};
 constexpr std::chrono::milliseconds kIdleReviewInterval{10000};
@@ -61,11 +65,21 @@
          });
 }
 
+/// Answers that this host begins per second.
+double OwnAnswersPerSecond(const State& state, TimePoint now) {
+  // Counts are halved each second, so that a steady rate sums up to rate / ln 2.
+  return DecayedOutcomes(state.quarantine.answers, now).responses * std::log(2.0);
+}
+
 /// Answers that all hosts begin per second, estimated from those of this host.
 double AnswersPerSecond(const State& state, TimePoint now) {
-  // Counts are halved each second, so that a steady rate sums up to rate / ln 2.
-  const double own = DecayedOutcomes(state.quarantine.answers, now).responses * std::log(2.0);
-  return own * std::max(1, state.hosts);
+  return OwnAnswersPerSecond(state, now) * std::max(1, state.hosts);
+}
+
+/// Delay within the spread of reports about one subject.
+std::chrono::milliseconds ReportDelay(const State& state, std::uint64_t subject) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(
+      Hash(state.options.host, subject) % static_cast<std::uint64_t>(kAnswerReportSpread.count())));
 }
 
 std::chrono::milliseconds AgeOf(TimePoint at, TimePoint now) {
@@ -140,10 +154,7 @@
     return;
   }
   if (!own.answers_due) {
-    const auto delay = std::chrono::milliseconds(
-        static_cast<std::int64_t>(Hash(scope.state.options.host, unshared.front()) %
-                                  static_cast<std::uint64_t>(kAnswerReportSpread.count())));
-    own.answers_due = scope.now + delay;
+    own.answers_due = scope.now + ReportDelay(scope.state, unshared.front());
   }
   if (scope.now < *own.answers_due) {
     return;
@@ -158,6 +169,46 @@
   SendReportTwice(scope, std::move(report));
 }
 
+/// Notes a rate of answers that the host of a lost attempt doesn't know, as the requests that begin
+/// answers may all come to other hosts than the harmful ones.
+void CorrectRate(EventScope& scope, quarantine::EntryId id) {
+  QuarantineState& own = scope.state.quarantine;
+  const auto entry = own.log.entries.find(id);
+  if (entry == own.log.entries.end() || scope.now - entry->second.at > kMaxRateAge) {
+    return;
+  }
+  // The sum over all hosts is at least this, whatever the share of this host is.
+  const double rate = OwnAnswersPerSecond(scope.state, scope.now);
+  if (rate > kMinRateCorrection * entry->second.answers_per_second) {
+    entry->second.answers_per_second = rate;
+    const TimePoint due = scope.now + ReportDelay(scope.state, id);
+    own.rate_corrections.push_back({due, id, rate});
+    ScheduleReview(scope, due);
+  }
+}
+
+void ReportRates(EventScope& scope) {
+  QuarantineState& own = scope.state.quarantine;
+  CrashReport report;
+  auto& corrections = own.rate_corrections;
+  for (auto correction = corrections.begin(); correction != corrections.end();) {
+    if (scope.now < correction->due) {
+      ++correction;
+      continue;
+    }
+    const auto entry = own.log.entries.find(correction->entry);
+    // Otherwise another host has told a higher rate.
+    if (entry != own.log.entries.end() &&
+        entry->second.answers_per_second <= correction->answers_per_second) {
+      report.crashes.push_back(MakeReportedCrash(entry->first, entry->second, scope.now));
+    }
+    correction = corrections.erase(correction);
+  }
+  if (!report.crashes.empty()) {
+    SendReportTwice(scope, std::move(report));
+  }
+}
+
 void SendRepeats(EventScope& scope) {
   auto& repeats = scope.state.quarantine.repeats;
   while (!repeats.empty() && repeats.front().due <= scope.now) {
@@ -327,6 +378,7 @@
     entry.parts = crash.parts;
     entry.answers_per_second = crash.answers_per_second;
     has_news = quarantine::AddEntry(own.log, crash.id, std::move(entry)) || has_news;
+    CorrectRate(scope, crash.id);
   }
   for (const ReportedAnswer& answer : event.report.answers) {
     has_news =
@@ -355,6 +407,7 @@
   QuarantineState& own = scope.state.quarantine;
   ConfirmLostAttempts(scope);
   ReportAnswers(scope);
+  ReportRates(scope);
   SendRepeats(scope);
   AdoptSuspects(scope, quarantine::FindSuspects(own.log, scope.now));
   quarantine::RemoveOldEntries(own.log, scope.now - quarantine::kEntryTtl);
@@ -362,7 +415,7 @@
       std::any_of(own.log.entries.begin(), own.log.entries.end(), [&scope](const auto& entry) {
         return scope.now - entry.second.at < quarantine::kHoldTime + kReviewInterval;
       });
-  if (has_recent || !own.repeats.empty() || own.answers_due) {
+  if (has_recent || !own.repeats.empty() || !own.rate_corrections.empty() || own.answers_due) {
     ScheduleReview(scope, scope.now + kReviewInterval);
   } else if (!own.log.entries.empty()) {
     ScheduleReview(scope, scope.now + kIdleReviewInterval);
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -115,6 +115,14 @@
     CrashReport report;
   };
   std::deque<Repeat> repeats;
+  /// A higher rate of answers than the host of a lost attempt knew, which this host reports unless
+  /// another host reports a still higher one before.
+  struct RateCorrection {
+    TimePoint due{};
+    quarantine::EntryId entry{0};
+    double answers_per_second{0};
+  };
+  std::vector<RateCorrection> rate_corrections;
   /// When this host reports answers that clear parts, unless another host does so before.
   std::optional<TimePoint> answers_due;
   /// A request that was let through to try whether a suspect still crashes upstreams.
--- a/src/snipeturn/quarantine/crash_log.cc
+++ b/src/snipeturn/quarantine/crash_log.cc
@@ -26,8 +26,13 @@
 }  // namespace internal
 
 bool AddEntry(CrashLog& log, EntryId id, CrashEntry entry) {
-  if (log.entries.count(id) > 0) {
-    return false;
+  const auto known = log.entries.find(id);
+  if (known != log.entries.end()) {
+    const bool is_higher = entry.answers_per_second > known->second.answers_per_second;
+    if (is_higher) {
+      known->second.answers_per_second = entry.answers_per_second;
+    }
+    return is_higher;
   }
   if (log.entries.size() >= kMaxEntries) {
     auto oldest = log.entries.end();
--- a/src/snipeturn/quarantine/crash_log.h
+++ b/src/snipeturn/quarantine/crash_log.h
@@ -17,7 +17,8 @@
   TimePoint at{};
   /// Parts of the prompt; the last one is the request's own.
   std::vector<PartId> parts;
-  /// Answers that all hosts began per second when the attempt was lost, as estimated by its host.
+  /// Answers that all hosts began per second when the attempt was lost: the highest estimate of a
+  /// host. The host of the attempt may begin none itself.
   double answers_per_second{0};
 };
 
@@ -42,8 +43,8 @@
 
 /// @brief Adds a lost attempt. When the log is full, the oldest entry that isn't kept makes room
 /// for
-///     a newer one.
-/// @return False if the log has the attempt already or has no room for it.
+///     a newer one. Of an attempt that the log has already, it takes a higher rate of answers.
+/// @return False if the log hasn't changed: it knew the attempt, or has no room for it.
 bool AddEntry(CrashLog& log, EntryId id, CrashEntry entry);
 
 /// @brief Records that an upstream began to answer a prompt. Parts that are in no entry are
--- a/test/snipeturn/entry/crash_reports_test.cc
+++ b/test/snipeturn/entry/crash_reports_test.cc
@@ -35,6 +35,28 @@
   CHECK(world.DeadlySendsAfterFifthCrash(3s) <= 3);
 }
 
+// Guards against a part that crashes engine after engine as the host to which its requests come
+// begins no answers, so that it can't tell the losses from chance.
+TEST_CASE_METHOD(CrashFixture, "deadlyPart_hostWithoutAnswers_heldBack", "[entry_crash]") {
+  const int hosts = GENERATE(2, 7, 40);
+  CrashWorld world(hosts);
+  std::uint64_t step = 0;
+  const auto load = [&](bool with_deadly) {
+    ++step;
+    if (with_deadly && step % 350 == 0) {
+      world.Request(0, {CrashWorld::kSharedPart, CrashWorld::kDeadlyPart});
+    }
+    if (step % 18 == 0) {
+      world.Request(1, {CrashWorld::kSharedPart, 100 + step % 20});
+    }
+  };
+  world.Run(5s, [&] { load(false); });
+  world.Run(40s, [&] { load(true); });
+  CHECK(world.crash_count() <= 6);
+  CHECK(world.DeadlySendsAfterFifthCrash(3s) <= 3);
+  CHECK(world.sound_refusals() == 0);
+}
+
 // Guards against sound requests that pay for the harmful ones with which they share their caller
 // and their other parts.
 TEST_CASE_METHOD(CrashFixture, "soundRequests_besideDeadlyPart_begin", "[entry_crash]") {
--- a/test/snipeturn/quarantine/suspects_test.cc
+++ b/test/snipeturn/quarantine/suspects_test.cc
@@ -53,6 +53,26 @@
   CHECK_FALSE(Matches(Find()[0], {7, kShared, 8}));
 }
 
+// Guards against a part that the host of its losses can't tell from chance, though others can.
+TEST_CASE_METHOD(SuspectsFixture, "part_rateCorrectedByOthers_suspected", "[quarantine]") {
+  answers_per_second = 0;
+  std::vector<EntryId> lost;
+  for (int count = 0; count < 3; ++count) {
+    lost.push_back(Lose({kShared, kDeadly}));
+    now += 1s;
+    Answer({kShared});
+  }
+  CHECK(Find().empty());
+  CrashEntry corrected = log.entries.at(lost.back());
+  corrected.answers_per_second = 50;
+  CHECK(AddEntry(log, lost.back(), corrected));
+  CHECK(Find().size() == 1);
+  // A lower rate is no news.
+  corrected.answers_per_second = 20;
+  CHECK_FALSE(AddEntry(log, lost.back(), corrected));
+  CHECK(log.entries.at(lost.back()).answers_per_second == 50);
+}
+
 // Guards against sound prompts that are held back because they were lost beside a harmful one.
 TEST_CASE_METHOD(SuspectsFixture, "part_answeredAfterCrashes_notSuspected", "[quarantine]") {
   for (int count = 0; count < 5; ++count) {
