The response to a rejected request reaches a caller that still sends it

Cause: a request that is too large, too slow or malformed was answered, and its connection closed at once. What the caller had sent meanwhile made the system reset the connection, so the caller's next write failed, and many clients then don't read the response (RFC 9112, 9.6). These rejections had neither a counter nor a log line.

The output now ends after the response, and what still comes is read and discarded until the caller closes, for header_timeout at most. Such a connection doesn't hold up the end of the process.

Changed test, as strict: request_malformed_rejectedAndClosed expected the connection to be gone once its caller had the response; it now expects the end of the output at once, and the end of the connection with the caller's side.

Ruled out: reading the rest before the response, which would hold memory and time for a request that is refused.

After: rejectedRequest_callerStillSends_responseReadable passes (no write fails while 4 MB are sent after a 413); [loop] 71 test cases pass. The test was not run on the code before.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -47,7 +47,7 @@
       return;
     }
     self->output_memory_.Set(0);
-    if (self->is_closing_) {
+    if (self->is_closing_ && !self->is_discarding_) {
       self->NotifyClosed();
     } else if (self->has_open_request_ && self->handlers_.on_flushed) {
       self->handlers_.on_flushed(self->key_);
@@ -114,10 +114,18 @@
 }
 
 void CallerConnection::RejectRequest(int status, std::string_view reason) {
+  if (handlers_.on_rejected) {
+    handlers_.on_rejected(status, reason);
+  }
+  input_ = std::string();
+  parser_.emplace(HttpParser::Kind::kRequest, limits_.max_header_bytes, limits_.max_body_bytes);
+  is_closing_ = is_discarding_ = true;
+  phase_started_at_ = BootTime();
+  connection_->SetReading(true);
   connection_->Write(FormatResponse(status, "application/problem+json",
                                     fmt::format(R"({{"reason":"{}","outcome":"not_run"}})", reason),
                                     "", true));
-  CloseAfterWrite();
+  connection_->EndOutputAfterWrite();
 }
 
 void CallerConnection::CloseAfterWrite() {
@@ -195,6 +203,10 @@
     }
     return;
   }
+  if (is_discarding_ && now - phase_started_at_ > limits_.header_timeout) {
+    Abort();
+    return;
+  }
   if (has_open_request_ || is_closing_) {
     return;
   }
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -37,6 +37,8 @@
     std::function<void(ConnectionKey)> on_closed;
     /// The output buffer has drained while a request was open.
     std::function<void(ConnectionKey)> on_flushed;
+    /// A request was rejected before it was handed over, with a response that names the reason.
+    std::function<void(int status, std::string_view reason)> on_rejected;
   };
 
   /// @param output Account of the bytes that wait for the caller to read them; may be null.
@@ -74,7 +76,8 @@
 
   /// @return True when no request is open, no byte of one has arrived, and all responses are sent.
   [[nodiscard]] bool is_idle() const noexcept {
-    return !has_open_request_ && !is_closing_ && !parser_->has_begun() && unwritten_bytes() == 0;
+    const bool is_between_requests = !has_open_request_ && !is_closing_ && !parser_->has_begun();
+    return (is_between_requests || is_discarding_) && unwritten_bytes() == 0;
   }
   [[nodiscard]] std::size_t unwritten_bytes() const noexcept {
     return connection_->unwritten_bytes();
@@ -102,6 +105,8 @@
   bool has_open_request_{false};
   bool must_close_{false};
   bool sent_continue_{false};
+  /// A rejected request: what the caller still sends is discarded.
+  bool is_discarding_{false};
   /// The last response was written; the connection closes once its bytes are sent.
   bool is_closing_{false};
   bool notified_closed_{false};
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -117,6 +117,18 @@
   }
 }
 
+void Connection::EndOutputAfterWrite() {
+  ends_output_after_write_ = true;
+  if (is_open_ && output_.empty()) {
+    EndOutput();
+  }
+}
+
+void Connection::EndOutput() {
+  boost::system::error_code ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+}
+
 void Connection::Close() {
   if (!is_open_) {
     return;
@@ -267,6 +279,8 @@
   output_.size() > internal::kReadBytes ? std::string().swap(output_) : output_.clear();
   if (closes_after_write_) {
     Close();
+  } else if (ends_output_after_write_) {
+    EndOutput();
   }
   if (handlers_.on_flushed) {
     handlers_.on_flushed();
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -61,6 +61,10 @@
   /// @brief Closes at once; no handler is called afterwards.
   void Close();
 
+  /// @brief Ends the output once all bytes are written. What the peer still sends is read, so that
+  ///     the system doesn't reset the connection and drop the last bytes, until it ends or `Close`.
+  void EndOutputAfterWrite();
+
   /// @brief Pauses or resumes reading, for back pressure.
   void SetReading(bool is_reading);
 
@@ -94,6 +98,7 @@
   void ReadAvailable();
   void AwaitWritable();
   void Flush();
+  void EndOutput();
   void HandleEnd(ConnectionEnd end, const std::string& reason);
   void RecordProgress(std::uint64_t acknowledged_bytes, TimePoint now);
   void LimitUnacknowledged(std::chrono::milliseconds limit);
@@ -119,6 +124,7 @@
   bool awaits_readable_{false};
   bool awaits_writable_{false};
   bool closes_after_write_{false};
+  bool ends_output_after_write_{false};
 };
 
 }  // namespace snipeturn::loop
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -203,6 +203,10 @@
       Apply(entry::CallerDisconnected{request});
     }
   };
+  handlers.on_rejected = [this](int status, std::string_view reason) {
+    metrics_.Add(AddToCounter{kRefusals, std::string(reason), 1});
+    Log({entry::log_events::kRefused, fmt::format("id=- status={} reason={}", status, reason)});
+  };
   handlers.on_closed = [this](ConnectionKey from) { connections_.erase(from); };
   handlers.on_flushed = [this](ConnectionKey from) {
     const auto found = request_by_connection_.find(from);
--- a/test/snipeturn/loop/caller_connection_test.cc
+++ b/test/snipeturn/loop/caller_connection_test.cc
@@ -125,7 +125,42 @@
   const std::string response = ReadUntil(caller, "\r\n\r\n");
   CHECK(response.rfind("HTTP/1.1 " + expected, 0) == 0);
   CHECK(request_count == 0);
-  CHECK(closes == 1);
+  // The output ends at once, and the connection with the caller's side.
+  boost::system::error_code error;
+  CHECK(RunUntil([&] {
+    char rest[4096];
+    caller.read_some(boost::asio::buffer(rest), error);
+    return error == boost::asio::error::eof;
+  }));
+  caller.close();
+  CHECK(RunUntil([this] { return closes == 1; }));
+  CHECK(request_count == 0);
+}
+
+// Guards against a rejection that its caller never reads, as the connection is reset while the
+// caller still sends the request.
+TEST_CASE_METHOD(CallerFixture, "rejectedRequest_callerStillSends_responseReadable", "[loop]") {
+  Write(caller, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4000000\r\n\r\n");
+  const std::string piece(65536, 'x');
+  caller.non_blocking(true);
+  boost::system::error_code error;
+  for (std::size_t sent = 0; sent < 4000000 && (!error || error == boost::asio::error::would_block);
+       RunFor(1ms)) {
+    sent += caller.write_some(boost::asio::buffer(piece), error);
+  }
+  CHECK_FALSE(error);
+  CHECK(ReadUntil(caller, "body_too_large").rfind("HTTP/1.1 413", 0) == 0);
+  CHECK(closes == 0);
+  SECTION("the caller closes its side") {
+    caller.close();
+    CHECK(RunUntil([this] { return closes == 1; }));
+  }
+  SECTION("the caller sends without end") {
+    RunFor(5ms);
+    connection->CheckTimeouts(BootTime() + limits.header_timeout + 1ms);
+    CHECK(closes == 1);
+  }
+  CHECK(request_count == 0);
 }
 
 // Guards against work for a caller that has disconnected.
