Requests take a bounded part of the memory together

Cause: bodies of up to max_body_bytes (4 MB) are kept whole until the answer, and once more while they are sent, without a limit for all together; the parser's buffer grew to up to twice the body.

All bodies together now take at most two fifths of memory_mb. A body over 64 KB begins to be read when there is room for it and for its copy; until then its caller waits, as the daemon doesn't read on, for header_timeout at most. Then it gets 503, not_run, with Retry-After and the reason no_memory. The copy is given back when it is sent. The parser takes the stated length at once. New gauge: snipeturn_request_memory_bytes.

Ruled out: refusing at once when there is no room, as large requests are sent on within milliseconds; one account with the responses, where requests could take the room that lets other requests end; a smaller max_body_bytes, which callers rely on.

Not bounded by this: bodies up to 64 KB, which are counted but don't wait; bytes that the kernel holds for callers that wait.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -14,16 +14,24 @@
 /// Buffered bytes of pipelined requests at which reading stops until the open request has its
 /// response.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+/// Bodies up to this size don't wait for memory.
+constexpr std::size_t kSmallBodyBytes = 65536;
+/// Copies of a request: the one that is kept, and the one that is being sent.
+constexpr std::size_t kRequestCopies = 2;
+/// Header fields of the response to a request that got no memory: others end meanwhile.
+constexpr std::string_view kMemoryRetryFields = "Retry-After: 1\r\n";
 
 }  // namespace
 }  // namespace internal
 
 CallerConnection::CallerConnection(ConnectionKey key,
                                    Connection::Socket socket,
-                                   std::shared_ptr<MemoryAccount> output)
+                                   std::shared_ptr<MemoryAccount> output,
+                                   std::shared_ptr<MemoryAccount> input)
     : key_(key),
       connection_(std::make_shared<Connection>(std::move(socket))),
-      output_memory_(std::move(output)) {}
+      output_memory_(std::move(output)),
+      input_memory_(std::move(input)) {}
 
 void CallerConnection::Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now) {
   handlers_ = std::move(handlers);
@@ -86,12 +94,13 @@
         RejectRequest(431, "header_too_large");
         return;
       }
-      const bool expects_continue = parser_->is_head_done() && !sent_continue_ &&
-                                    FindField(parser_->head(), "Expect") != nullptr;
-      if (expects_continue) {
-        sent_continue_ = true;
-        connection_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+      if (parser_->is_head_done() && !ReserveBody()) {
+        awaits_memory_ = true;
+        phase_started_at_ = BootTime();
+        connection_->SetReading(false);
+        return;
       }
+      SendContinueIfExpected();
       return;
     }
     case ParseStatus::kHeaderTooLarge:
@@ -108,23 +117,49 @@
   }
   HttpHead head = std::move(parser_->head());
   std::string body = parser_->TakeBody();
+  input_memory_.Set(internal::kRequestCopies * body.size());
   has_open_request_ = true;
   must_close_ = !head.keep_alive || head.version < 11;
   handlers_.on_request(key_, std::move(head), std::move(body));
 }
 
-void CallerConnection::RejectRequest(int status, std::string_view reason) {
+void CallerConnection::SendContinueIfExpected() {
+  if (parser_->is_head_done() && !sent_continue_ &&
+      FindField(parser_->head(), "Expect") != nullptr) {
+    sent_continue_ = true;
+    connection_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+bool CallerConnection::ReserveBody() {
+  const HttpHead& head = parser_->head();
+  // The next read adds to a body of unknown length.
+  const std::uint64_t bytes =
+      head.is_chunked ? parser_->body_bytes() + internal::kSmallBodyBytes : head.body_length;
+  const auto needed = static_cast<std::size_t>(internal::kRequestCopies * bytes);
+  if (bytes <= internal::kSmallBodyBytes) {
+    input_memory_.Set(needed);
+    return true;
+  }
+  return input_memory_.TrySet(needed);
+}
+
+void CallerConnection::RejectRequest(int status,
+                                     std::string_view reason,
+                                     std::string_view extra_fields) {
   if (handlers_.on_rejected) {
     handlers_.on_rejected(status, reason);
   }
   input_ = std::string();
   parser_.emplace(HttpParser::Kind::kRequest, limits_.max_header_bytes, limits_.max_body_bytes);
+  input_memory_.Set(0);
+  awaits_memory_ = false;
   is_closing_ = is_discarding_ = true;
   phase_started_at_ = BootTime();
   connection_->SetReading(true);
   connection_->Write(FormatResponse(status, "application/problem+json",
                                     fmt::format(R"({{"reason":"{}","outcome":"not_run"}})", reason),
-                                    "", true));
+                                    extra_fields, true));
   connection_->EndOutputAfterWrite();
 }
 
@@ -160,6 +195,7 @@
 
 void CallerConnection::FinishExchange(bool close) {
   has_open_request_ = false;
+  input_memory_.Set(0);
   sent_continue_ = false;
   phase_started_at_ = BootTime();
   if (close || must_close_) {
@@ -187,6 +223,7 @@
 
 void CallerConnection::NotifyClosed() {
   output_memory_.Set(0);
+  input_memory_.Set(0);
   if (!notified_closed_) {
     notified_closed_ = true;
     handlers_.on_closed(key_);
@@ -210,7 +247,16 @@
   if (has_open_request_ || is_closing_) {
     return;
   }
-  if (parser_->has_begun()) {
+  if (awaits_memory_) {
+    if (ReserveBody()) {
+      awaits_memory_ = false;
+      phase_started_at_ = now;
+      connection_->SetReading(true);
+      SendContinueIfExpected();
+    } else if (now - phase_started_at_ > limits_.header_timeout) {
+      RejectRequest(503, "no_memory", internal::kMemoryRetryFields);
+    }
+  } else if (parser_->has_begun()) {
     if (now - phase_started_at_ > limits_.header_timeout) {
       RejectRequest(408, "request_too_slow");
     }
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -42,9 +42,12 @@
   };
 
   /// @param output Account of the bytes that wait for the caller to read them; may be null.
+  /// @param input Account of the requests, from the first byte of the body to the end of the
+  ///     response; may be null.
   CallerConnection(ConnectionKey key,
                    Connection::Socket socket,
-                   std::shared_ptr<MemoryAccount> output = nullptr);
+                   std::shared_ptr<MemoryAccount> output = nullptr,
+                   std::shared_ptr<MemoryAccount> input = nullptr);
 
   void Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now);
 
@@ -67,8 +70,16 @@
   /// @brief Sets new limits, which apply from the next request on.
   void SetLimits(const ConnectionLimits& limits) { limits_ = limits; }
 
+  /// @brief States how many bytes of memory the open request takes.
+  void SetRequestMemory(std::size_t bytes) {
+    if (has_open_request_) {
+      input_memory_.Set(bytes);
+    }
+  }
+
   /// @brief Closes the connection when it was idle for too long, and rejects a request whose bytes
-  ///     arrive too slowly. Keeps a caller that reads slowly from being taken for unreachable.
+  ///     arrive too slowly, or which gets no memory in time. Keeps a caller that reads slowly from
+  ///     being taken for unreachable.
   void CheckTimeouts(TimePoint now);
 
   /// @brief Reads what the caller has already sent.
@@ -90,7 +101,10 @@
   void HandleConnectionEnd();
   void ParseNext();
   void FinishExchange(bool close);
-  void RejectRequest(int status, std::string_view reason);
+  void RejectRequest(int status, std::string_view reason, std::string_view extra_fields = "");
+  /// Takes memory for a body that is still arriving; returns false if there is none.
+  [[nodiscard]] bool ReserveBody();
+  void SendContinueIfExpected();
   void CloseAfterWrite();
   void NotifyClosed();
 
@@ -100,11 +114,14 @@
   ConnectionLimits limits_;
   std::string input_;
   MemoryShare output_memory_;
+  MemoryShare input_memory_;
   std::optional<HttpParser> parser_;
   /// A request was handed over and has no complete response yet.
   bool has_open_request_{false};
   bool must_close_{false};
   bool sent_continue_{false};
+  /// Reading is paused until there is memory for the body.
+  bool awaits_memory_{false};
   /// A rejected request: what the caller still sends is discarded.
   bool is_discarding_{false};
   /// The last response was written; the connection closes once its bytes are sent.
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -86,6 +86,15 @@
   handlers.on_end = [this, key](ExchangeResult result, const std::string& reason) {
     HandleAttemptEnd(key, result, reason);
   };
+  if (const auto connection = FindConnection(open_request.connection)) {
+    const std::size_t kept = open_request.body.size();
+    connection->SetRequestMemory(kept + call.bytes.size());
+    handlers.on_sent = [weak = std::weak_ptr<CallerConnection>(connection), kept] {
+      if (const auto caller = weak.lock()) {
+        caller->SetRequestMemory(kept);
+      }
+    };
+  }
   attempt.exchange = client_.Start(std::move(call), std::move(handlers));
   active_attempts_.emplace(key, std::move(attempt));
 }
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -36,6 +36,9 @@
 /// Part (1/n) of the process's memory that responses may take together. The process itself, its
 /// tables and the growth of one buffer need the rest.
 constexpr std::size_t kResponseMemoryDivisor = 5;
+/// Part (m/n) of it that requests may take together: they are kept until they are answered.
+constexpr std::size_t kRequestMemoryFactor = 2;
+constexpr std::size_t kRequestMemoryDivisor = 5;
 
 /// Gauges of one kind of statement of upstreams.
 struct StatementGauges {
@@ -95,7 +98,9 @@
       timer_(context),
       housekeeping_timer_(context),
       response_memory_(std::make_shared<MemoryAccount>(
-          MemoryAccount{options_.memory / internal::kResponseMemoryDivisor, 0})) {
+          MemoryAccount{options_.memory / internal::kResponseMemoryDivisor, 0})),
+      request_memory_(std::make_shared<MemoryAccount>(MemoryAccount{
+          options_.memory / internal::kRequestMemoryDivisor * internal::kRequestMemoryFactor, 0})) {
   state_.options = options_.entry;
 }
 
@@ -176,7 +181,8 @@
 
 void EntryRuntime::AddConnection(Connection::Socket socket, Listener kind) {
   const ConnectionKey key = next_connection_++;
-  auto connection = std::make_shared<CallerConnection>(key, std::move(socket), response_memory_);
+  auto connection =
+      std::make_shared<CallerConnection>(key, std::move(socket), response_memory_, request_memory_);
   connections_[key] = connection;
   CallerConnection::Handlers handlers;
   switch (kind) {
@@ -250,6 +256,7 @@
       {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)},
       {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
       {"snipeturn_response_memory_bytes", "", "", static_cast<double>(response_memory_->used)},
+      {"snipeturn_request_memory_bytes", "", "", static_cast<double>(request_memory_->used)},
       {"snipeturn_cells_heard", "", "",
        static_cast<double>(entry::CountLiveCells(state_, BootTime()))}};
   gauges.insert(gauges.end(), own.begin(), own.end());
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -205,6 +205,8 @@
   std::uint64_t housekeeping_datagrams_{0};
   /// Responses that are being received, and bytes of responses that wait for their callers.
   std::shared_ptr<MemoryAccount> response_memory_;
+  /// Bodies of requests, from their first byte to the end of the response.
+  std::shared_ptr<MemoryAccount> request_memory_;
   std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections_;
   std::map<ConnectionKey, entry::RequestKey> request_by_connection_;
   std::map<entry::RequestKey, OpenRequest> open_requests_;
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -193,6 +193,12 @@
             HandleConnectionEnd(locked, end, reason);
           }
         };
+        handlers.on_flushed = [weak = std::weak_ptr<Channel>(channel)] {
+          const ChannelPointer locked = weak.lock();
+          if (locked && locked->exchange && locked->exchange->handlers.on_sent) {
+            locked->exchange->handlers.on_sent();
+          }
+        };
         channel->connection->Start(std::move(handlers));
         SendRequest(exchange, channel);
       });
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -58,6 +58,8 @@
   /// Called for the head of each interim response.
   std::function<void(const HttpHead&)> on_interim;
   std::function<void(std::string&& bytes)> on_body;
+  /// All bytes of the request were written, and their memory was given back.
+  std::function<void()> on_sent;
   std::function<void(ExchangeResult, const std::string& reason)> on_end;
 };
 
--- a/src/snipeturn/loop/http_head.h
+++ b/src/snipeturn/loop/http_head.h
@@ -25,6 +25,8 @@
   bool keep_alive{true};
   /// The body's end is marked by Content-Length or by chunks.
   bool has_body_length{false};
+  /// The stated length of a body that isn't chunked.
+  std::uint64_t body_length{0};
   bool is_chunked{false};
 };
 
--- a/src/snipeturn/loop/http_parser.cc
+++ b/src/snipeturn/loop/http_parser.cc
@@ -58,11 +58,15 @@
     head.keep_alive = this->keep_alive();
     head.is_chunked = this->chunked();
     head.has_body_length = this->chunked() || this->content_length().has_value();
+    head.body_length = this->content_length().value_or(0);
   }
 
-  void on_body_init_impl(const boost::optional<std::uint64_t>& /*length*/,
-                         error_code& error) override {
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length, error_code& error) override {
     error = {};
+    // A request is kept whole: growth by steps would take up to twice its size.
+    if (kIsRequest && length) {
+      body.reserve(static_cast<std::size_t>(*length));
+    }
   }
 
   std::size_t on_body_impl(string_view bytes, error_code& error) override {
@@ -114,6 +118,7 @@
   virtual ParseStatus FeedEnd() = 0;
   [[nodiscard]] virtual bool is_head_done() const = 0;
   [[nodiscard]] virtual bool is_done() const = 0;
+  [[nodiscard]] virtual std::size_t body_bytes() const = 0;
   virtual HttpHead& head() = 0;
   virtual std::string TakeBody() = 0;
 
@@ -161,6 +166,7 @@
 
   [[nodiscard]] bool is_head_done() const override { return parser_.is_header_done(); }
   [[nodiscard]] bool is_done() const override { return parser_.is_done(); }
+  [[nodiscard]] std::size_t body_bytes() const override { return parser_.body.size(); }
   HttpHead& head() override { return parser_.head; }
   std::string TakeBody() override { return std::exchange(parser_.body, std::string()); }
 
@@ -201,6 +207,10 @@
   return implementation_->is_done();
 }
 
+std::size_t HttpParser::body_bytes() const noexcept {
+  return implementation_->body_bytes();
+}
+
 bool HttpParser::has_begun() const noexcept {
   return implementation_->has_begun;
 }
--- a/src/snipeturn/loop/http_parser.h
+++ b/src/snipeturn/loop/http_parser.h
@@ -47,6 +47,8 @@
   /// @return True once a byte of the message was fed.
   [[nodiscard]] bool has_begun() const noexcept;
   [[nodiscard]] HttpHead& head() noexcept;
+  /// @return Number of body bytes parsed since the last call of `TakeBody`.
+  [[nodiscard]] std::size_t body_bytes() const noexcept;
   /// @return The body bytes parsed since the last call.
   [[nodiscard]] std::string TakeBody();
 
--- a/src/snipeturn/loop/memory_account.h
+++ b/src/snipeturn/loop/memory_account.h
@@ -47,6 +47,17 @@
     }
   }
 
+  /// @brief Sets the size of the buffer if all together have room for it.
+  /// @return False if nothing was set: there is no room, and the buffer isn't alone.
+  [[nodiscard]] bool TrySet(std::size_t bytes) noexcept {
+    if (account_ && bytes > bytes_ && account_->used > bytes_ &&
+        account_->used - bytes_ + bytes > account_->limit) {
+      return false;
+    }
+    Set(bytes);
+    return true;
+  }
+
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
   [[nodiscard]] const MemoryAccount* account() const noexcept { return account_.get(); }
 
--- a/test/snipeturn/loop/memory_test.cc
+++ b/test/snipeturn/loop/memory_test.cc
@@ -6,7 +6,7 @@
 namespace snipeturn::loop {
 namespace {
 
-/// A runtime whose responses may take 1 MB together.
+/// A runtime whose responses may take 1 MB together, and its requests 2 MB.
 class MemoryFixture : public RuntimeFixture {
  public:
   static constexpr std::size_t kLimit = 1U << 20U;
@@ -25,14 +25,68 @@
     return upstream_sockets.back();
   }
 
-  /// Bytes that responses take, by the metrics.
-  double UsedMemory() {
+  /// Bytes that responses or requests take, by the metrics.
+  double UsedMemory(const std::string& kind = "response") {
     const std::string text = ReadMetrics();
-    const std::size_t found = text.find("\nsnipeturn_response_memory_bytes");
+    const std::size_t found = text.find("\nsnipeturn_" + kind + "_memory_bytes");
     REQUIRE(found != std::string::npos);
     return std::stod(text.substr(text.find(' ', found)));
   }
 
+  /// A large request that a caller sends as fast as it is read.
+  struct LargeRequest {
+    std::string text;
+    std::size_t sent{0};
+    std::string response;
+  };
+
+  void BeginLargeRequest(const std::string& id) {
+    callers.emplace_back(context);
+    callers.back().connect({boost::asio::ip::address_v4::loopback(), front});
+    callers.back().non_blocking(true);
+    LargeRequest request;
+    request.text = "POST /book/a HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: " + id +
+                   "\r\nDeadline-Ms: 9000\r\nContent-Length: 800000\r\n\r\n" +
+                   std::string(800000, 'x');
+    requests.push_back(std::move(request));
+  }
+
+  /// Sends and receives what is possible at once, at the callers and at the upstream, which answers
+  /// each request that it has whole.
+  void Exchange() {
+    std::vector<char> buffer(65536);
+    for (std::size_t place = 0; place < requests.size(); ++place) {
+      LargeRequest& request = requests[place];
+      boost::system::error_code error;
+      request.sent +=
+          callers[place].write_some(boost::asio::buffer(request.text.data() + request.sent,
+                                                        request.text.size() - request.sent),
+                                    error);
+      request.response.append(buffer.data(),
+                              callers[place].read_some(boost::asio::buffer(buffer), error));
+    }
+    static_cast<void>(IsUpstreamReached());
+    received.resize(upstream_sockets.size());
+    for (std::size_t place = 0; place < upstream_sockets.size() && answers; ++place) {
+      boost::system::error_code error;
+      upstream_sockets[place].non_blocking(true);
+      received[place].append(buffer.data(),
+                             upstream_sockets[place].read_some(boost::asio::buffer(buffer), error));
+      if (received[place].size() > 800000) {
+        const std::size_t id = received[place].find("Request-Id: ") + 12;
+        Write(upstream_sockets[place], "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: " +
+                                           received[place].substr(id, 2) +
+                                           "\r\nContent-Length: 4\r\n\r\nsold");
+        received[place].clear();
+      }
+    }
+    RunFor(1ms);
+  }
+
+  std::vector<LargeRequest> requests;
+  std::vector<std::string> received;
+  bool answers{true};
+
   std::vector<tcp::socket> callers;
 };
 
@@ -118,5 +172,56 @@
   CHECK(UsedMemory() == 0);
 }
 
+// Guards against large requests that take all of the memory together (issue 40, the review's
+// probes), and against ones that wait for memory for ever.
+TEST_CASE_METHOD(MemoryFixture, "requests_large_servedInTurnWithinMemory", "[loop]") {
+  constexpr int kRequests = 4;
+  for (int number = 0; number < kRequests; ++number) {
+    BeginLargeRequest("r" + std::to_string(number));
+  }
+  double most = 0;
+  const auto has_response = [](const LargeRequest& request) {
+    return request.response.find("sold") != std::string::npos;
+  };
+  const auto end = std::chrono::steady_clock::now() + 8s;
+  for (int round = 0; std::chrono::steady_clock::now() < end &&
+                      !std::all_of(requests.begin(), requests.end(), has_response);
+       ++round) {
+    Exchange();
+    if (round % 10 == 0) {
+      most = std::max(most, UsedMemory("request"));
+    }
+  }
+  CHECK(std::all_of(requests.begin(), requests.end(), has_response));
+  CHECK(most > 700000);
+  CHECK(most <= 2 * kLimit);
+  RunFor(20ms);
+  CHECK(UsedMemory("request") == 0);
+}
+
+// Guards against a large request that is neither served nor refused while others take the memory.
+TEST_CASE_METHOD(MemoryFixture, "request_noMemoryInTime_refusedAsNotRun", "[loop]") {
+  answers = false;
+  BeginLargeRequest("r0");
+  REQUIRE(RunUntil([this] {
+    Exchange();
+    return IsUpstreamReached();
+  }));
+  BeginLargeRequest("r1");
+  const auto end = std::chrono::steady_clock::now() + 5s;
+  while (requests[1].response.empty() && std::chrono::steady_clock::now() < end) {
+    Exchange();
+  }
+  CHECK(requests[1].response.rfind("HTTP/1.1 503", 0) == 0);
+  CHECK(requests[1].response.find("no_memory") != std::string::npos);
+  CHECK(requests[1].response.find("not_run") != std::string::npos);
+  CHECK(requests[1].response.find("Retry-After: 1") != std::string::npos);
+  CHECK(ReadMetrics().find("snipeturn_refusals_total{reason=\"no_memory\"} 1") !=
+        std::string::npos);
+  // A small one needs no turn.
+  Send("r2");
+  CHECK(requests[0].response.empty());
+}
+
 }  // namespace
 }  // namespace snipeturn::loop
