A new host that reads the store's copy before the list of hosts waits for a table

Cause: a host that has just started, and finds no other host listed, waits 600 ms for a peer's table, as a copy may lack all records of hosts. The wait was chosen when the configuration was read; if the list was read after it, the host waited 300 ms, as for listed hosts, and served the copy's version though its peers knew a later one (rule CONFIG).

Its log: copy read at 34.240, list of hosts empty, served from 34.54 to 34.56; its peers had version 7.

Before: newHost_noPeersListed_waitsForTable failed with the list read second (3 of 8 checks). After: it passes in both orders.

Conclusion: the wait is longer whenever the list turns out to be empty. A host that has served by such a copy, and then hears of a later version, still goes on for revoke_ms, as before.

--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -190,6 +190,10 @@
   }
   // The copy may lack the records of all other hosts, whose tables come without being asked for.
   scope.state.store.has_unknown_peers = hosts.empty();
+  if (hosts.empty() && scope.state.store.deferred_until) {
+    // The configuration was read before the list, and waits only for the replies of listed hosts.
+    *scope.state.store.deferred_until += kMaxSilence - kMaxReadDelay;
+  }
   AskForVersions(scope, hosts);
 }
 
--- a/test/snipeturn/entry/store_return_test.cc
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -424,8 +424,15 @@
 
 // Guards against a host that serves by the copy, which lacks the records of its peers, too.
 TEST_CASE_METHOD(NewHostFixture, "newHost_noPeersListed_waitsForTable", "[entry]") {
-  Apply(HostsRead{});
-  ReadConfiguration();
+  const bool is_list_first = GENERATE(true, false);
+  CAPTURE(is_list_first);
+  if (is_list_first) {
+    Apply(HostsRead{});
+    ReadConfiguration();
+  } else {
+    ReadConfiguration();
+    Apply(HostsRead{});
+  }
   AdvanceTime(500ms);
   CHECK_FALSE(IsInService());
   SECTION("a peer with a newer version") {
