Small bodies in chunks don't wait for memory

A body in chunks counted with the 64 KB that the next read may add, so each one was taken for large after its first byte and waited while large ones took the memory. What decides is what has come.

request_noMemoryInTime_refusedAsNotRun has such a request now; it passed on the code before as well, as there was room for 128 KB. Found by reading.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -133,11 +133,11 @@
 
 bool CallerConnection::ReserveBody() {
   const HttpHead& head = parser_->head();
+  const std::uint64_t known = head.is_chunked ? parser_->body_bytes() : head.body_length;
   // The next read adds to a body of unknown length.
-  const std::uint64_t bytes =
-      head.is_chunked ? parser_->body_bytes() + internal::kSmallBodyBytes : head.body_length;
+  const std::uint64_t bytes = known + (head.is_chunked ? internal::kSmallBodyBytes : 0);
   const auto needed = static_cast<std::size_t>(internal::kRequestCopies * bytes);
-  if (bytes <= internal::kSmallBodyBytes) {
+  if (known <= internal::kSmallBodyBytes) {
     input_memory_.Set(needed);
     return true;
   }
--- a/test/snipeturn/loop/memory_test.cc
+++ b/test/snipeturn/loop/memory_test.cc
@@ -218,8 +218,17 @@
   CHECK(requests[1].response.find("Retry-After: 1") != std::string::npos);
   CHECK(ReadMetrics().find("snipeturn_refusals_total{reason=\"no_memory\"} 1") !=
         std::string::npos);
-  // A small one needs no turn.
+  // A small one needs no turn, nor does one whose length isn't stated.
   Send("r2");
+  callers.emplace_back(context);
+  callers.back().connect({boost::asio::ip::address_v4::loopback(), front});
+  const std::size_t before = upstream_sockets.size();
+  Write(callers.back(),
+        "POST /book/a HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: r3\r\nDeadline-Ms: 9000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbo");
+  RunFor(20ms);
+  Write(callers.back(), "dy\r\n0\r\n\r\n");
+  CHECK(RunUntil([&] { return IsUpstreamReached() && upstream_sockets.size() > before; }));
   CHECK(requests[0].response.empty());
 }
 
