Stand-ins test: the reused port is one that the system gives to nobody else

Cause: connection_from_reused_port_is_served took a port that the system had assigned and bound it again after a reset.

The test now binds both connections to a port below the ephemeral range. What it checks is unchanged: with the stand-in of it still fails.

--- a/test/process/standins_test.py
+++ b/test/process/standins_test.py
@@ -11,8 +11,8 @@
 import tempfile
 import time
 
-from cluster import ADDRESS, MODEL, TOKEN, Background, Simulator, main, new_key, read_events, \
-    send, wait_until
+from cluster import ADDRESS, MODEL, TOKEN, Background, Simulator, free_port, main, new_key, \
+    read_events, send, wait_until
 
 
 class SimulatorRun:
@@ -102,18 +102,28 @@
         assert read["records"] == [] and read["oldest"] == read["next"] == codes.count(200), read
 
 
+def connect_from(own, port):
+    """Connects to a port from an address of the test's choice."""
+    connection = socket.socket()
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    connection.bind(own)
+    connection.connect((ADDRESS, port))
+    return connection
+
+
 def connection_from_reused_port_is_served(build):
     """Guards against a simulator that takes the end of a connection for that of a later one from
     the same port, which a client can use again at once after a reset."""
     with SimulatorRun(build, "standin_log") as log:
-        first = socket.create_connection((ADDRESS, log.port))
+        # The system gives a port of this range to no other connection meanwhile.
+        own = (ADDRESS, free_port())
+        first = connect_from(own, log.port)
         first.sendall(b"GET /streams/a/records?from=0&limit=1&wait_ms=1000 HTTP/1.1\r\n"
                       b"Host: h\r\n\r\n")
         time.sleep(0.2)
-        own = first.getsockname()
         first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         first.close()
-        second = socket.create_connection((ADDRESS, log.port), source_address=own)
+        second = connect_from(own, log.port)
         time.sleep(1.5)
         second.sendall(b"GET /streams/a/records?from=0&limit=1 HTTP/1.1\r\nHost: h\r\n\r\n")
         second.settimeout(5)
