Store client: append with the condition that the partition ends at a position

Two hosts that decide differently about a roll-out must not both write. The store offers the parameter `at` for that and answers 412; the client had no way to state it. AppendAt does, and reports 412 as a conflict.

Tested: append_partitionGrown_conflict and the other tests of the module.

--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -159,6 +159,22 @@
   std::optional<boost::asio::ip::tcp::socket> connection;
 };
 
+// Guards against a record that is written although another host has written one since the read.
+TEST_CASE_METHOD(StoreClientFixture, "append_partitionGrown_conflict", "[platform]") {
+  std::optional<AppendResult> result;
+  client.AppendAt("keyed.t", "k", "v", {3, 41},
+                  [&result](const AppendResult& received) { result = received; });
+  connection.emplace(Accept());
+  const std::string call = ReadUntil(*connection, "\r\n\r\n");
+  CHECK(call.find("POST /api/log-append?topic=keyed.t&part=0&at=41 HTTP/1.1\r\n") == 0);
+  Write(*connection,
+        "HTTP/1.1 412 Precondition Failed\r\nStore-Era: 3\r\nContent-Length: 10\r\n\r\n"
+        "{\"end\":42}");
+  REQUIRE(RunUntil([&result] { return result.has_value(); }));
+  CHECK(result->status == StoreStatus::kConflict);
+  CHECK(result->era == 3);
+}
+
 // Guards against a return of the store that only responses to good reads tell.
 TEST_CASE_METHOD(StoreClientFixture, "append_anyStatus_higherEraReported", "[platform]") {
   Append("200 OK", EraField("1"));
