Roll-outs: declarations shared by the decisions, the codec and the platform

Adds the version of an upstream, the bounds, the events and effects for orders and statuses, and the rows of evidence in load tables. Nothing reads them yet.

--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -158,6 +158,19 @@
   CrashReport report;
 };
 
+/// Read the newest status record of a service's roll-outs; answered by RolloutStatusRead.
+struct ReadRolloutStatus {
+  std::string service;
+};
+
+/// Append a status record if the partition still ends at a position; answered by
+/// RolloutStatusWritten.
+struct WriteRolloutStatus {
+  std::string service;
+  RolloutStatus status;
+  StorePosition end{};
+};
+
 /// Close the connection pool of an upstream, which is no longer needed.
 struct ForgetUpstream {
   UpstreamId id;
@@ -188,6 +201,8 @@
                             SendConfirmation,
                             SendCrashReport,
                             SaveCrashReport,
+                            ReadRolloutStatus,
+                            WriteRolloutStatus,
                             ForgetUpstream,
                             EmitLog,
                             AddToCounter,
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -17,6 +17,8 @@
 #include "snipeturn/entry/store_position.h"
 #include "snipeturn/entry/upstream.h"
 #include "snipeturn/quarantine/fwd.h"
+#include "snipeturn/rollout/evidence.h"
+#include "snipeturn/rollout/order.h"
 
 namespace snipeturn::entry {
 
@@ -156,6 +158,98 @@
   std::vector<EvacuationRead> evacuations;
 };
 
+/// An operator's roll-out order, or its deletion.
+struct RolloutOrderRead {
+  std::string service;
+  std::string target;
+  std::chrono::milliseconds duration{0};
+  /// The record was deleted; `target` and `duration` say nothing.
+  bool is_deleted{false};
+  /// Position of the record.
+  StorePosition position{};
+};
+
+/// All roll-out orders that the store lists, read after records may have been missed.
+struct RolloutOrdersRead {
+  std::vector<RolloutOrderRead> orders;
+};
+
+/// State of a roll-out as the store records it for operators and the platform.
+enum class RolloutState : std::uint8_t { kRunning, kSucceeded, kRolledBack };
+
+/// @brief Name of a state in log lines and in the store.
+[[nodiscard]] constexpr std::string_view ToString(RolloutState state) noexcept {
+  switch (state) {
+    case RolloutState::kRunning:
+      return "running";
+    case RolloutState::kSucceeded:
+      return "succeeded";
+    case RolloutState::kRolledBack:
+      return "rolled_back";
+  }
+  return "";
+}
+
+/// Newest status record of a service's roll-outs.
+struct RolloutStatus {
+  std::string target;
+  RolloutState state{RolloutState::kRunning};
+};
+
+/// Result of ReadRolloutStatus. A read that fails gives no event; it is asked for again.
+struct RolloutStatusRead {
+  std::string service;
+  /// Empty if the service has none that can be read.
+  std::optional<RolloutStatus> status;
+  /// End of the partition at the read; a conditional append states it.
+  StorePosition end{};
+};
+
+enum class StatusWriteResult : std::uint8_t {
+  kWritten,
+  /// The partition had grown since it was read.
+  kConflict,
+  /// No response: the record may have been written.
+  kUnknown,
+  /// The store rejected the record, which isn't written.
+  kRefused,
+};
+
+/// @brief Name of a result in log lines.
+[[nodiscard]] constexpr std::string_view ToString(StatusWriteResult result) noexcept {
+  switch (result) {
+    case StatusWriteResult::kWritten:
+      return "written";
+    case StatusWriteResult::kConflict:
+      return "conflict";
+    case StatusWriteResult::kUnknown:
+      return "unknown";
+    case StatusWriteResult::kRefused:
+      return "refused";
+  }
+  return "";
+}
+
+/// Result of WriteRolloutStatus.
+struct RolloutStatusWritten {
+  std::string service;
+  RolloutStatus status;
+  StatusWriteResult result{StatusWriteResult::kUnknown};
+};
+
+/// What a host, or a cell, knows of a service's roll-out.
+struct ReportedRollout {
+  std::string service;
+  std::string target;
+  /// Position of the order's record.
+  StorePosition order{};
+  rollout::Phase phase{rollout::Phase::kCanary};
+  /// Process of the host that counted the rows; 0 in the sum of a cell.
+  std::uint64_t incarnation{0};
+  /// Empty when the roll-out has ended.
+  std::vector<rollout::EvidenceRow> rows;
+};
+
 /// Origin of an update about an upstream.
 enum class UpdateSource : std::uint8_t { kStore, kPeer };
 
@@ -275,6 +369,8 @@
   std::vector<ReportedLimit> limits;
   /// Upstreams that told the host that they are leaving.
   std::vector<ReportedLeaving> leaving;
+  /// Roll-outs that run or have just ended, with the evidence of this host alone.
+  std::vector<ReportedRollout> rollouts;
   /// Time of the broadcast by the sender's clock; orders its tables.
   TimePoint broadcast_at{};
   /// Forwarded by a host of this cell, which received the table from another cell.
@@ -292,6 +388,8 @@
   std::vector<ReportedLimit> limits;
   /// Upstreams that told a host of the cell that they are leaving.
   std::vector<ReportedLeaving> leaving;
+  /// Roll-outs with the sum of the evidence of the cell's hosts, including those that have gone.
+  std::vector<ReportedRollout> rollouts;
   /// Forwarded by a host of this cell, which received the sum from the other cell.
   bool is_forwarded{false};
 };
@@ -365,6 +463,10 @@
                            DesiredStateRead,
                            EvacuationRead,
                            EvacuationsRead,
+                           RolloutOrderRead,
+                           RolloutOrdersRead,
+                           RolloutStatusRead,
+                           RolloutStatusWritten,
                            UpstreamListed,
                            UpstreamUnlisted,
                            UpstreamListRead,
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -18,12 +19,26 @@
   double retry_ratio{0.2};
   double retry_slack{0};
   std::chrono::milliseconds retry_window{10000};
+  /// Largest share of a service's requests that a version under trial gets, and the number of
+  /// requests that it may get beyond it, over all hosts.
+  double canary_share{0.1};
+  double canary_slack{50};
+  /// Time from the 50th bad response of a version to the last request that is sent to it.
+  std::chrono::milliseconds rollback{5000};
+  /// Time by which limits are extended while the store is unstable.
+  std::chrono::milliseconds outer{6000};
+  /// Time within which a change of the configuration is applied.
+  std::chrono::milliseconds config_apply{3000};
 };
 
 struct Options {
   std::string host;
   std::string zone;
   Bounds bounds;
+  /// Upstreams' versions and the operators' roll-out orders count.
+  bool rollouts_enabled{false};
+  /// Identifies this process among those that the host has run; a later one has a higher number.
+  std::uint64_t incarnation{0};
 };
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -30,6 +30,8 @@
   std::int64_t start_time_ms{0};
   /// Increases with each report of an incarnation; a delayed report has a lower one.
   std::int64_t sequence{0};
+  /// Version of the service that it runs; empty when its entry states none.
+  std::string version{};
 };
 
 /// Load of an upstream, in the units of its capacity limits.
