--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -165,6 +165,8 @@
   std::chrono::milliseconds duration{0};
   /// The record was deleted; `target` and `duration` say nothing.
   bool is_deleted{false};
+  /// Time since the record was written; 0 if the store doesn't tell.
+  std::chrono::milliseconds age{0};
   /// Position of the record.
   StorePosition position{};
 };
@@ -243,7 +245,12 @@
   std::string target;
   /// Position of the order's record.
   StorePosition order{};
+  /// Time since the order, as far as the sender knows, and the order's time limit.
+  std::chrono::milliseconds age{0};
+  std::chrono::milliseconds duration{0};
   rollout::Phase phase{rollout::Phase::kCanary};
+  /// State of this order that the sender knows to be in the store.
+  std::optional<RolloutState> published;
   /// Process of the host that counted the rows; 0 in the sum of a cell.
   std::uint64_t incarnation{0};
   /// Empty when the roll-out has ended.
