Peers: roll-outs and versions of upstreams in messages between hosts

Hosts learn the phase and the evidence of a roll-out from load tables and sums of cells, and the version of an upstream from the list updates of others. Versions have a key of their own, as hosts of an earlier release drop longer rows. A message that these keys would make larger than the largest datagram gets fewer rows of evidence, then fewer updates, whose gap makes the receiver read the list. Without roll-outs and versions messages are as before. A status also names the order's offset, which tells two orders with one target apart.

--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -196,6 +196,9 @@
 struct RolloutStatus {
   std::string target;
   RolloutState state{RolloutState::kRunning};
+  /// Offset of the order's record, which tells two orders with the same target apart; records of
+  /// other writers state none.
+  std::optional<std::uint64_t> order{};
 };
 
 /// Result of ReadRolloutStatus. A read that fails gives no event; it is asked for again.
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -12,6 +12,8 @@
 
 #include "snipeturn/loop/age_codec.h"
 #include "snipeturn/loop/crash_report_codec.h"
+#include "snipeturn/loop/list_update_codec.h"
+#include "snipeturn/loop/rollout_codec.h"
 #include "snipeturn/loop/upstream_signal_codec.h"
 
 namespace snipeturn::loop {
@@ -36,82 +38,9 @@
   return Json::writeString(builder, root);
 }
 
-/// Encodes an update of the upstream list as an array, which keeps datagrams small. An entry that
-/// was removed has the number, the offset, the id and whether it may have expired only.
-Json::Value EncodeListUpdate(const entry::PeerUpdate& update) {
-  Json::Value row(Json::arrayValue);
-  row.append(Json::UInt64{update.number});
-  if (const auto* unlisted = std::get_if<entry::UpstreamUnlisted>(&update.notice)) {
-    row.append(Json::UInt64{unlisted->position.offset});
-    row.append(unlisted->id);
-    row.append(unlisted->may_have_expired);
-    return row;
-  }
-  const auto& listed = std::get<entry::UpstreamListed>(update.notice);
-  const entry::UpstreamEntry& entry = listed.entry;
-  row.append(Json::UInt64{listed.position.offset});
-  row.append(entry.id);
-  row.append(entry.service);
-  row.append(entry.endpoint.address);
-  row.append(entry.endpoint.port);
-  row.append(entry.zone);
-  row.append(entry.slots);
-  row.append(entry.leaving);
-  row.append(Json::Int64{entry.cold_left.count()});
-  row.append(Json::Int64{entry.start_time_ms});
-  row.append(Json::Int64{entry.sequence});
-  return row;
-}
-
-/// @param row The columns of the update.
-/// @param era Era of its position, which the row doesn't hold.
-std::optional<entry::PeerUpdate> DecodeListUpdate(const Json::Value& row, entry::StoreEra era) {
-  // Hosts of an earlier version send removed entries without their last column.
-  constexpr Json::ArrayIndex kMinUnlistedLength = 3;
-  constexpr Json::ArrayIndex kUnlistedLength = 4;
-  constexpr Json::ArrayIndex kListedLength = 12;
-  if (!row.isArray() || row.size() < kMinUnlistedLength ||
-      (row.size() > kUnlistedLength && row.size() != kListedLength) || !row[2].isString() ||
-      row[2].asString().empty()) {
-    return std::nullopt;
-  }
-  Json::ArrayIndex column = 0;
-  const std::uint64_t number = row[column++].asUInt64();
-  const entry::StorePosition position(era, row[column++].asUInt64());
-  const std::string id = row[column++].asString();
-  if (row.size() <= kUnlistedLength) {
-    const bool may_have_expired = row.size() < kUnlistedLength || row[column].asBool();
-    return entry::PeerUpdate{
-        number,
-        entry::UpstreamUnlisted{id, position, entry::UpdateSource::kPeer, may_have_expired}};
-  }
-  entry::UpstreamListed listed;
-  listed.source = entry::UpdateSource::kPeer;
-  listed.position = position;
-  entry::UpstreamEntry& entry = listed.entry;
-  entry.id = id;
-  entry.service = row[column++].asString();
-  entry.endpoint.address = row[column++].asString();
-  entry.endpoint.port = row[column++].asInt();
-  entry.zone = row[column++].asString();
-  entry.slots = row[column++].asInt();
-  entry.leaving = row[column++].asBool();
-  entry.cold_left = std::chrono::milliseconds(row[column++].asInt64());
-  entry.start_time_ms = row[column++].asInt64();
-  entry.sequence = row[column++].asInt64();
-  return entry::PeerUpdate{number, std::move(listed)};
-}
-
-/// Eras of the positions of the updates, in their order. They are no column of the rows, since
-/// hosts of an earlier version drop a table with longer rows.
-constexpr char kRecentErasKey[] = "recent_eras";
 constexpr char kEraKey[] = "era";
 constexpr char kVersionKey[] = "version";
 
-entry::StoreEra EraOf(const entry::PeerUpdate& update) {
-  return std::visit([](const auto& notice) { return notice.position.era; }, update.notice);
-}
-
 void EncodeConfigurationPosition(Json::Value& root, const entry::StorePosition& position) {
   root["configuration"] = Json::UInt64{position.offset};
   root[kEraKey] = Json::UInt64{position.era};
@@ -130,6 +59,8 @@
 /// host that sent it.
 constexpr char kAskedKey[] = "asked_us";
 constexpr char kAnsweredKey[] = "answered_us";
+/// Roll-outs that run or have just ended.
+constexpr char kRolloutsKey[] = "rollouts";
 /// Marks the sum of a cell.
 constexpr char kSumKey[] = "sum";
 /// Marks a crash report.
@@ -189,14 +120,6 @@
       return std::nullopt;
     }
   }
-  const Json::Value& eras = root[kRecentErasKey];
-  for (Json::ArrayIndex index = 0; index < root["recent"].size(); ++index) {
-    auto update = DecodeListUpdate(root["recent"][index], eras.get(index, 0).asUInt64());
-    if (!update) {
-      return std::nullopt;
-    }
-    received.recent_updates.push_back(std::move(*update));
-  }
   for (const Json::Value& id : root["unreached"]) {
     received.unreachable_upstreams.push_back(id.asString());
   }
@@ -208,12 +131,15 @@
     count.failures = row[1].asDouble();
     count.responses = row[2].asDouble();
   }
+  auto updates = DecodeListUpdates(root);
   auto load = DecodeLoadTable(root["load"]);
   auto limits = DecodeLimits(root["limits"]);
   auto leaving = DecodeLeavings(root["leaving"]);
-  if (!load || !limits || !leaving) {
+  if (!updates || !load || !limits || !leaving) {
     return std::nullopt;
   }
+  received.rollouts = DecodeRollouts(root[kRolloutsKey]);
+  received.recent_updates = std::move(*updates);
   received.leaving = std::move(*leaving);
   received.load = std::move(*load);
   received.limits = std::move(*limits);
@@ -232,6 +158,7 @@
   if (!load || !limits || !leaving || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
   }
+  sum.rollouts = DecodeRollouts(root[kRolloutsKey]);
   sum.leaving = std::move(*leaving);
   sum.load = std::move(*load);
   sum.limits = std::move(*limits);
@@ -248,6 +175,26 @@
   return sum;
 }
 
+/// Writes a message with as many rows of evidence as it has room for. Without roll-outs it has no
+/// further key.
+std::string WriteWithRollouts(Json::Value& root,
+                              const std::vector<entry::ReportedRollout>& rollouts) {
+  std::size_t max_rows = rollout::kMaxEvidenceRows;
+  while (!rollouts.empty()) {
+    root[kRolloutsKey] = EncodeRollouts(rollouts, max_rows);
+    std::string text = WriteCompactJson(root);
+    if (text.size() <= kMaxDatagramBytes) {
+      return text;
+    }
+    root.removeMember(kRolloutsKey);
+    if (max_rows == 0) {
+      break;
+    }
+    max_rows /= 2;
+  }
+  return WriteCompactJson(root);
+}
+
 std::optional<PeerMessage> DecodeMessage(const Json::Value& root) {
   PeerMessage message{root["host"].asString(), {}, false};
   if (root.isMember(kAskedKey)) {
@@ -333,11 +280,7 @@
   for (const entry::UpstreamId& id : load.unreachable_upstreams) {
     root["unreached"].append(id);
   }
-  root["recent"] = Json::Value(Json::arrayValue);
-  for (const entry::PeerUpdate& update : load.recent_updates) {
-    root["recent"].append(internal::EncodeListUpdate(update));
-    root[internal::kRecentErasKey].append(Json::UInt64{internal::EraOf(update)});
-  }
+  EncodeListUpdates(load.recent_updates, root);
   internal::EncodeConfigurationPosition(root, load.configuration_position);
   if (load.configuration_version) {
     root[internal::kVersionKey] = Json::Int64{*load.configuration_version};
@@ -362,7 +305,17 @@
   if (!load.leaving.empty()) {
     root["leaving"] = EncodeLeavings(load.leaving);
   }
-  return internal::WriteCompactJson(root);
+  std::string text = internal::WriteWithRollouts(root, load.rollouts);
+  // Updates grow by their versions. A receiver reads the list if updates are left out.
+  const bool has_versions = HasVersions(load.recent_updates);
+  std::vector<entry::PeerUpdate> updates = load.recent_updates;
+  while (has_versions && text.size() > kMaxDatagramBytes && !updates.empty()) {
+    updates.erase(updates.begin(),
+                  updates.begin() + static_cast<std::ptrdiff_t>((updates.size() + 1) / 2));
+    EncodeListUpdates(updates, root);
+    text = internal::WriteWithRollouts(root, load.rollouts);
+  }
+  return text;
 }
 
 std::string EncodeCellLoad(std::string_view host, const entry::CellLoadReceived& sum) {
@@ -387,7 +340,7 @@
     row.append(outcome.hosts);
     root["outcomes"].append(std::move(row));
   }
-  return internal::WriteCompactJson(root);
+  return internal::WriteWithRollouts(root, sum.rollouts);
 }
 
 std::optional<PeerMessage> DecodePeerMessage(std::string_view text) {
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -16,6 +16,9 @@
 
 namespace snipeturn::loop {
 
+/// Largest datagram: a table of some hundred upstreams with as many updates.
+inline constexpr std::size_t kMaxDatagramBytes = 32768;
+
 /// @brief Encodes a load table for other hosts as JSON.
 /// @param load A host's load by upstream, with its updates and ages for the peers.
 /// @return The datagram.
@@ -96,9 +99,6 @@
   void AwaitReadable();
   void SendTo(std::string_view datagram, const boost::asio::ip::udp::endpoint& endpoint);
 
-  /// Largest datagram: a table of some hundred upstreams with as many updates.
-  static constexpr std::size_t kMaxDatagramBytes = 32768;
-
   std::string host_;
   boost::asio::ip::udp::socket socket_;
   std::function<void(PeerMessage&&)> on_message_;
