Platform: versions, roll-out orders and statuses

With `rollout` in the settings' contracts the host reads the version of an upstream, the operators' orders, and reads and writes statuses when the entry path asks for it. Without it records are read as before and the store gets no further call. An append states the end that was read; one whose response is lost, or that met the log of another era, is unknown, and a read tells what was done.

--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -381,6 +381,14 @@
           if (save_crash_report_) {
             save_crash_report_(item.report);
           }
+        } else if constexpr (std::is_same_v<Item, entry::ReadRolloutStatus>) {
+          if (read_rollout_status_) {
+            read_rollout_status_(item.service);
+          }
+        } else if constexpr (std::is_same_v<Item, entry::WriteRolloutStatus>) {
+          if (write_rollout_status_) {
+            write_rollout_status_(item);
+          }
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           ForgetUpstream(item.id);
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -80,6 +80,15 @@
     save_crash_report_ = std::move(save);
   }
 
+  /// @brief Sets the callbacks for the statuses of roll-outs in the store.
+  /// @param read Called when the status of a service has to be read.
+  /// @param write Called when a status has to be written.
+  void SetRolloutCallbacks(std::function<void(const std::string& service)> read,
+                           std::function<void(const entry::WriteRolloutStatus&)> write) {
+    read_rollout_status_ = std::move(read);
+    write_rollout_status_ = std::move(write);
+  }
+
   void Log(const EmitLog& entry);
 
   [[nodiscard]] HttpClient& client() noexcept { return client_; }
@@ -220,6 +229,8 @@
   std::function<void()> request_configuration_read_;
   std::function<void()> request_snapshots_;
   std::function<void(const entry::CrashReport&)> save_crash_report_;
+  std::function<void(const std::string&)> read_rollout_status_;
+  std::function<void(const entry::WriteRolloutStatus&)> write_rollout_status_;
   entry::BroadcastState broadcast_;
 };
 
--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -87,6 +87,13 @@
   return ::stat(path.c_str(), &status) == 0 ? status.st_mtim : timespec{};
 }
 
+/// Tells the processes of a host apart: the start time, in milliseconds since the epoch.
+std::uint64_t MakeIncarnation() {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                        std::chrono::system_clock::now().time_since_epoch())
+                                        .count());
+}
+
 /// The daemon with the objects that live as long as the process.
 class Daemon {
  public:
@@ -202,7 +209,9 @@
   // The library raises this threshold with each large buffer that is freed, and then keeps the
   // memory of the next ones.
   ::mallopt(M_MMAP_THRESHOLD, kLargeBufferBytes);
-  return Daemon(path, *settings).Run();
+  platform::Settings own = *settings;
+  own.runtime.entry.incarnation = MakeIncarnation();
+  return Daemon(path, own).Run();
 }
 
 }  // namespace
--- a/test/platform/fake_store.h
+++ b/test/platform/fake_store.h
@@ -57,6 +57,12 @@
   int refused_appends{0};
   /// Appends that are lost together with their connection.
   int lost_appends{0};
+  /// Appends that are done and whose responses are lost together with their connection.
+  int lost_responses{0};
+  /// Reads of newest records that are refused with 503.
+  int refused_reads{0};
+  /// Most records of a page.
+  std::size_t page_records{500};
   int appends{0};
 
  private:
@@ -129,12 +135,28 @@
         Respond(session, "503 Service Unavailable", "{}");
         return;
       }
+      if (call.find("&at=") != std::string::npos &&
+          std::stoul(Parameter(call, "at")) != logs[topic].size()) {
+        Respond(session, "412 Precondition Failed",
+                R"({"end":)" + std::to_string(logs[topic].size()) + "}");
+        return;
+      }
       const auto key_bytes = static_cast<unsigned char>(body.at(kLengthBytes));
       Write(topic, body.substr(kLengthBytes + 1, key_bytes),
             body.substr(kLengthBytes + 1 + key_bytes));
+      if (lost_responses > 0) {
+        --lost_responses;
+        return;
+      }
       Respond(session, "200 OK", "{}");
     } else if (call.find("/api/log-newest") != std::string::npos) {
-      Respond(session, "200 OK", FormatNewest(topic));
+      if (refused_reads > 0) {
+        --refused_reads;
+        Respond(session, "503 Service Unavailable", "{}");
+        return;
+      }
+      const bool is_first = call.find("&after=") == std::string::npos;
+      Respond(session, "200 OK", FormatNewest(topic, is_first ? "" : Parameter(call, "after")));
     } else {
       session->timer.expires_after(kWait);
       session->timer.async_wait([this, session, topic, from = std::stoul(Parameter(call, "from"))](
@@ -181,7 +203,8 @@
     return body;
   }
 
-  std::string FormatNewest(const std::string& topic) {
+  /// @param after Key after which the page begins, in the encoding of the query.
+  std::string FormatNewest(const std::string& topic, const std::string& after) {
     namespace base64 = boost::beast::detail::base64;
     const Log& log = logs[topic];
     std::map<std::string, std::size_t> newest;
@@ -189,18 +212,25 @@
       newest[log[offset].key] = offset;
     }
     std::string items;
+    std::size_t records = 0;
+    bool has_more = false;
     for (const auto& [key, offset] : newest) {
       const std::string& value = log[offset].value;
-      if (value.empty()) {
+      if (value.empty() || key <= after) {
         continue;
       }
+      has_more = records == page_records;
+      if (has_more) {
+        break;
+      }
+      ++records;
       std::string encoded(base64::encoded_size(value.size()), '\0');
       encoded.resize(base64::encode(encoded.data(), value.data(), value.size()));
       items += (items.empty() ? "" : ",") + (R"({"key":")" + key + R"(","value":")" + encoded) +
                R"(","offset":)" + std::to_string(offset) + "}";
     }
-    return R"({"items":[)" + items + R"(],"has_more":false,"end":)" + std::to_string(log.size()) +
-           "}";
+    return R"({"items":[)" + items + R"(],"has_more":)" + (has_more ? "true" : "false") +
+           R"(,"end":)" + std::to_string(log.size()) + "}";
   }
 
   boost::asio::ip::tcp::acceptor& acceptor_;
--- a/test/platform/settings_test.cc
+++ b/test/platform/settings_test.cc
@@ -120,5 +120,42 @@
   }
 }
 
+// Guards against roll-outs in a deployment that hasn't enabled them.
+TEST_CASE("settings_contracts_rolloutEnabledOnlyIfNamed", "[platform]") {
+  const auto is_enabled = [](const std::string& contracts) {
+    const auto parsed = ParseSettings(Replace("\"zone\":\"z\"", "\"zone\":\"z\"" + contracts));
+    return parsed.settings.value().runtime.entry.rollouts_enabled;
+  };
+  CHECK(is_enabled(R"(,"contracts":["pressure","rollout"])"));
+  CHECK_FALSE(is_enabled(""));
+  CHECK_FALSE(is_enabled(R"(,"contracts":["rollouts"])"));
+  CHECK_FALSE(is_enabled(R"(,"contracts":"rollout")"));
+  CHECK_FALSE(is_enabled(R"(,"contracts":["rollout",7])"));
+}
+
+TEST_CASE("settings_rolloutBounds_decoded", "[platform]") {
+  const auto [settings, faults] = ParseSettings(Replace(
+      "\"grace_s\":8", R"("canary_share":0.2,"canary_slack":7,"rollback_ms":3000,"outer_ms":4000,)"
+                       R"("config_apply_ms":1000)"));
+  REQUIRE(settings);
+  CHECK(faults.empty());
+  const entry::Bounds& bounds = settings->runtime.entry.bounds;
+  CHECK(bounds.canary_share == 0.2);
+  CHECK(bounds.canary_slack == 7);
+  CHECK(bounds.rollback == std::chrono::seconds(3));
+  CHECK(bounds.outer == std::chrono::seconds(4));
+  CHECK(bounds.config_apply == std::chrono::seconds(1));
+}
+
+// Guards against a share that lets a version under trial get all requests.
+TEST_CASE("settings_canaryShareOutOfRange_defaultUsed", "[platform]") {
+  const std::string share = GENERATE("1.1", "-0.1", "\"0.1\"");
+  const auto parsed = ParseSettings(Replace("\"grace_s\":8", "\"canary_share\":" + share));
+  REQUIRE(parsed.settings);
+  CHECK(Paths(parsed.faults, Effect::kDefaultUsed) ==
+        std::vector<std::string>{"node.bounds.canary_share"});
+  CHECK(parsed.settings->runtime.entry.bounds.canary_share == 0.1);
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
