Soak: upstreams run versions, and the store can lose responses

Roll-outs need upstreams of a version that is sound, bad at once, later or on one route, or slow, and a record of what they received. The settings of a world can enable contracts.

--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -116,6 +116,8 @@
         self.append_delay_s = self.page_delay_s = 0.0
         # What the operator and the servers have written last, by topic and key.
         self.written = {}
+        # Number of calls by path and topic, and the paths and topics whose next responses are lost.
+        self.calls, self.lost_responses = {}, []
 
     def disturb(self, mode):
         """Sets a fault, or ends it with "up"."""
@@ -191,15 +193,28 @@
             if mode == "busy":
                 writer.write(self.answer(503))
             else:
-                writer.write(await self.handle(method, target, body))
+                answer = await self.handle(method, target, body)
+                if self.loses_response(target):
+                    writer.transport.abort()
+                    return
+                writer.write(answer)
             await writer.drain()
 
+    def loses_response(self, target):
+        """Tells whether the connection ends before the response to a call that was done."""
+        lost = next((call for call in self.lost_responses
+                     if target.startswith(f"{call[0]}?topic={call[1]}&")), None)
+        if lost:
+            self.lost_responses.remove(lost)
+        return lost is not None
+
     async def handle(self, method, target, body):
         path, _, query = target.partition("?")
         arguments = {name: values[0] for name, values in urllib.parse.parse_qs(
             query, keep_blank_values=True, encoding="latin-1").items()}
         topic = arguments.get("topic", "")
         self.records.setdefault(topic, [])
+        self.calls[path, topic] = self.calls.get((path, topic), 0) + 1
         if path == "/api/log-append":
             return await self.append(topic, arguments, body)
         if path == "/api/log-newest":
@@ -284,9 +299,11 @@
     Appends each execution, as name and time, to `world.executions` under its request id.
     """
 
-    def __init__(self, world, name, service, is_engine):
+    def __init__(self, world, name, service, is_engine, version="v1"):
         self.world, self.name, self.service, self.is_engine = world, name, service, is_engine
-        self.zone = "z"
+        self.zone, self.version = "z", version
+        # How well the version works (rollouts.Behaviour); None is as well as the others.
+        self.behaviour = None
         self.started_ms = int(time.time() * 1000)
         self.sequence = 0
         self.leaving = False
@@ -313,7 +330,10 @@
         change = self.world.first_event_change
         is_changed = change and daemon.stopping and (
             time.monotonic() > daemon.terminated_at + change[0])
-        return change[1] if is_changed else self.first_event_s
+        return change[1] if is_changed else self.first_event_s * self.slowness()
+
+    def slowness(self):
+        return self.behaviour.slowness if self.behaviour else 1
 
     def record_first_event(self, request):
         daemon = self.world.daemon_by_request[request]
@@ -332,7 +352,7 @@
         self.sequence += 1
         return json.dumps({
             "service": self.service, "address": f"{ADDRESS}:{self.proxy.port}", "zone": self.zone,
-            "version": "v1", "slots": 24 if self.is_engine else 6, "born": self.started_ms,
+            "version": self.version, "slots": 24 if self.is_engine else 6, "born": self.started_ms,
             "state": "draining" if self.leaving and self.tells_store else "ready", "cold_left_ms": 0,
             "sequence": self.sequence}).encode()
 
@@ -354,6 +374,10 @@
                 writer.write(response(503, b"", [
                     ("Not-Executed", "1"), ("Request-Id", fields["request-id"]),
                     ("Retry-After", str(PAUSE_S))]))
+            elif self.behaviour and self.behaviour.receive(self, fields["request-id"], target):
+                self.record_execution(fields["request-id"])
+                writer.write(response(500, b"failed", [
+                    ("Request-Id", fields["request-id"]), ("Response-Stamp", self.name)]))
             elif self.is_engine:
                 if not await self.generate(writer, fields):
                     return
@@ -420,7 +444,7 @@
             writer.write(response(503, b"", [("Not-Executed", "1"), ("Request-Id", request)]))
             return True
         self.record_execution(request)
-        await asyncio.sleep(self.world.call_s)
+        await asyncio.sleep(self.world.call_s * self.slowness())
         if self.fault == "lose" and request_number(request) % ENDLESS_ANSWERS:
             writer.transport.abort()
             return False
@@ -485,7 +509,7 @@
                 await writer.drain()
                 if event == 1:
                     self.record_first_event(request)
-                await asyncio.sleep(self.event_s)
+                await asyncio.sleep(self.event_s * self.slowness())
         except ConnectionError:
             if request_number(request) % COPY_FAULTS == DROPPED_CALL:
                 await self.work_on(generation)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -99,11 +99,13 @@
         self.path = os.path.join(world.folder, f"{name}.json")
         with open(self.path, "w") as file:
             json.dump({"node": {
+                **({"contracts": list(world.contracts)} if world.contracts else {}),
                 "node_name": name, "zone": "z", "ip": ADDRESS,
                 "internal_ports": [free_port(socket.SOCK_DGRAM)],
                 "listen": {"front": f"{ADDRESS}:{self.front}", "ready": f"{ADDRESS}:{self.ready}"},
                 "bounds": {"revoke_ms": int(world.revoke_s * 1000), "grace_s": world.grace_s, "fail_closed": True,
-                           "drain_ms": int(world.drain_s * 1000), "budget_slack": 50},
+                           "drain_ms": int(world.drain_s * 1000), "budget_slack": 50,
+                           **world.bounds},
                 "platform": {"address": f"{ADDRESS}:{store_link.port}"}}}, file)
 
     def last_disturbed(self):
@@ -236,6 +238,8 @@
     first_event_change = None
     # Whether each version adds a route and drops that of an earlier one.
     has_version_routes = False
+    # What the settings of the daemons enable, and further bounds in them.
+    contracts, bounds = (), {}
     # Grace period of a planned stop, and the longest time of a request by the settings.
     grace_s, timeout_s = 4, 5
 
@@ -306,10 +310,12 @@
         if self.versions:
             self.versions.acknowledge(number)
 
-    async def add_upstream(self, is_engine, service="plain", zone="z"):
+    async def add_upstream(self, is_engine, service="plain", zone="z", version="v1",
+                           behaviour=None):
         self.next_upstream += 1
         upstream = Upstream(self, f"i-{self.next_upstream}", "engines" if is_engine else service,
-                            is_engine)
+                            is_engine, version)
+        upstream.behaviour = behaviour
         upstream.zone = zone
         await upstream.start()
         upstream.proxy = await Proxy(upstream.port).start()
