Roll-outs: placement, evidence, phases and status in the entry path

Hosts keep the versions of each service, the order in force and its evidence. Placement asks for the use of a version for each candidate, attempts report when they end, one host at a time writes the status, and load tables carry phase and evidence. Nothing of it takes effect unless the options enable roll-outs.

--- a/src/snipeturn/base/timers.h
+++ b/src/snipeturn/base/timers.h
@@ -38,6 +38,7 @@
   kEntryCrashSync,
   kEntryCopyHold,
   kEntryDeferredRead,
+  kEntryRollout,
 };
 
 /// Identifies one timer, for example the deadline of request 7.
--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -67,6 +67,14 @@
 inline constexpr LogEvent kPauseEnded{865, "upstream_pause_ended", LogLevel::kInfo};
 inline constexpr LogEvent kSignalUnreadable{863, "upstream_signal_unreadable", LogLevel::kWarning};
 
+inline constexpr LogEvent kRolloutOrdered{871, "rollout_ordered", LogLevel::kInfo};
+inline constexpr LogEvent kRolloutEnded{872, "rollout_ended", LogLevel::kInfo};
+inline constexpr LogEvent kRolloutPhase{873, "rollout_phase", LogLevel::kWarning};
+inline constexpr LogEvent kRolloutStatusWritten{874, "rollout_status_written", LogLevel::kInfo};
+inline constexpr LogEvent kRolloutStatusNotWritten{875, "rollout_status_not_written",
+                                                   LogLevel::kWarning};
+inline constexpr LogEvent kVersionHeld{876, "version_held", LogLevel::kInfo};
+
 }  // namespace log_events
 
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
@@ -75,6 +83,9 @@
 inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
 inline constexpr CounterName kStoreReturns{"snipeturn_store_returns_total", "source"};
 inline constexpr CounterName kCopyIgnored{"snipeturn_store_copy_ignored_total", "kind"};
+inline constexpr CounterName kRolloutPhases{"snipeturn_rollout_phases_total", "phase"};
+inline constexpr CounterName kRolloutSends{"snipeturn_rollout_sends_total", "version"};
+inline constexpr CounterName kRolloutWrites{"snipeturn_rollout_status_writes_total", "result"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -16,6 +16,7 @@
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/rollout_evidence.h"
 #include "snipeturn/entry/shutdown.h"
 
 namespace snipeturn::entry::internal {
@@ -228,6 +229,8 @@
   send.resume = std::move(resume);
   send.position = request.events;
   request.attempts.push_back({send.attempt, upstream.entry.id, scope.now, is_resume, !is_resume});
+  request.attempts.back().version = upstream.entry.version;
+  CountRolloutSend(scope, request, upstream);
   request.sends += 1;
   request.runs += is_resume ? 0 : 1;
   if (request.phase == RequestPhase::kQueued) {
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -11,6 +11,7 @@
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/migration.h"
+#include "snipeturn/entry/rollout_evidence.h"
 #include "snipeturn/entry/routing.h"
 #include "snipeturn/entry/service_times.h"
 #include "snipeturn/entry/shutdown.h"
@@ -241,6 +242,7 @@
       CountOutcome(upstream->second.outcomes, SendOutcome::kError, scope.now);
     }
   }
+  RecordOverdueEvidence(scope, request, scope.now);
   if (request.is_started) {
     BreakRequest(scope, request, "timeout");
   } else if (request.runs > 0) {
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -4,6 +4,7 @@
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry {
@@ -61,6 +62,7 @@
   table.outcomes = FailingUpstreams(state, now);
   table.limits = ReportedLimits(state, now, true);
   table.leaving = ReportedLeavings(state, now, true);
+  table.rollouts = ReportedRollouts(state, now);
   return table;
 }
 
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/outcome.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/rollouts.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -115,6 +116,7 @@
   const auto found = scope.state.upstreams.find(id);
   return found != scope.state.upstreams.end() &&
          scope.state.evacuated_zones.count(found->second.entry.zone) == 0 &&
+         !IsVersionClosed(scope.state, found->second) &&
          (found->second.phase != UpstreamPhase::kLeaving ||
           scope.now - found->second.phase_since <
               scope.state.options.bounds.drain - kMaxDeliveryDelay);
@@ -183,6 +185,7 @@
   const auto source = scope.state.upstreams.find(migration.source);
   const bool wants_work = target != scope.state.upstreams.end() &&
                           IsServing(scope.state, target->second) &&
+                          !IsVersionClosed(scope.state, target->second) &&
                           !backpressure::IsPaused(target->second.pause, scope.now);
   if (wants_work || migration.step != MigrationStep::kCopying || migration.has_source_ended ||
       source == scope.state.upstreams.end() ||
@@ -329,7 +332,8 @@
     return;
   }
   const auto source = scope.state.upstreams.find(attempt->upstream);
-  if (source == scope.state.upstreams.end() || source->second.phase != UpstreamPhase::kLeaving) {
+  if (source == scope.state.upstreams.end() || (source->second.phase != UpstreamPhase::kLeaving &&
+                                                !MustLeaveVersion(scope.state, source->second))) {
     return;
   }
   const Service& service = scope.state.desired->services[request.service];
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -12,6 +12,8 @@
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/rollout_evidence.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/service_times.h"
 #include "snipeturn/entry/shutdown.h"
 
@@ -201,6 +203,7 @@
     RelayStream(scope, request, attempt);
   }
   RecordLostAttempt(scope, request, attempt, event);
+  RecordAttemptEvidence(scope, request, attempt, event);
   UpdateUpstreamHealth(scope, attempt, event);
   if (DidNotRun(event.result) && !attempt.is_resume) {
     request.runs -= 1;
@@ -241,6 +244,7 @@
     return;
   }
   if (is_acceptable) {
+    RecordOverdueEvidence(scope, request, attempt.sent_at);
     ForwardResponse(scope, request, event.attempt, event.status);
     return;
   }
@@ -287,6 +291,7 @@
   }
   if (attempt->is_reading_prompt) {
     RecordBegunAnswer(scope, request);
+    RecordFirstEventEvidence(scope, request, *attempt);
     RecordFirstEvent(scope.state.service_times[request.service], request,
                      scope.now - attempt->sent_at, scope.now);
   }
@@ -316,7 +321,8 @@
   if (request.migration && request.migration->step == MigrationStep::kResuming) {
     FinishMigration(scope, request);
   }
-  if (is_first && upstream->second.phase == UpstreamPhase::kLeaving) {
+  if (is_first && (upstream->second.phase == UpstreamPhase::kLeaving ||
+                   MustLeaveVersion(scope.state, upstream->second))) {
     ScheduleMigration(scope, request, std::chrono::milliseconds{0});
   }
 }
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/store_updates.h"
 #include "snipeturn/entry/upstream_signals.h"
@@ -119,6 +120,10 @@
   }
   AdoptReportedLimits(scope, event.limits);
   AdoptReportedLeavings(scope, event.leaving);
+  // The evidence of another cell comes as a sum.
+  if (!HasCells(state) || event.cell == state.cell) {
+    AdoptReportedRollouts(scope, event.host, event.rollouts);
+  }
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -12,6 +12,7 @@
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/service_times.h"
 
 namespace snipeturn::entry {
@@ -61,6 +62,10 @@
 /// target's link receives copies one after another, so the copies are spread over targets.
 constexpr double kMigrationJitter = 0.3;
 
+/// Preference for the version that a roll-out wants this request to use: more than the load, and
+/// less than the penalty of an upstream that may be down.
+constexpr double kVersionBonus = 4.0;
+
 /// How long a failed connection makes an upstream suspected down while the upstream list can be
 /// read: by then the entry of an upstream that is gone has disappeared.
 constexpr std::chrono::seconds kSuspicionTtl{4};
@@ -179,6 +184,10 @@
         &upstream == source) {
       continue;
     }
+    const VersionUse version_use = UseOfVersion(state, request, upstream, now);
+    if (version_use == VersionUse::kBarred) {
+      continue;
+    }
     if (!IsServing(state, upstream)) {
       if (upstream.said_leaving_at) {
         kept_back.push_back({id, backpressure::SignalKind::kLeaving});
@@ -235,6 +244,9 @@
     if (source == nullptr && !request.head.shared_prefix.empty()) {
       score -= kAffinityBonus * UnitRendezvousWeight(request.head.shared_prefix, id);
     }
+    if (version_use == VersionUse::kPreferred) {
+      score -= kVersionBonus;
+    }
     if (score < best_score) {
       best_score = score;
       best = {PlacementResult::kPlaced,    id,  scored.utilisation,
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -14,6 +14,7 @@
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/outcome.h"
 #include "snipeturn/entry/peers.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/shutdown.h"
 #include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/store_updates.h"
@@ -59,6 +60,10 @@
     ReviewAwaitedVersions(scope);
     return;
   }
+  if (key.kind == TimerKind::kEntryRollout) {
+    ReviewRollouts(scope);
+    return;
+  }
   if (key.kind == TimerKind::kEntryShutdown) {
     CheckShutdown(scope);
     return;
@@ -111,6 +116,14 @@
           AdoptEvacuation(scope, item);
         } else if constexpr (std::is_same_v<Item, EvacuationsRead>) {
           AdoptEvacuations(scope, item);
+        } else if constexpr (std::is_same_v<Item, RolloutOrderRead>) {
+          AdoptRolloutOrder(scope, item);
+        } else if constexpr (std::is_same_v<Item, RolloutOrdersRead>) {
+          AdoptRolloutOrders(scope, item);
+        } else if constexpr (std::is_same_v<Item, RolloutStatusRead>) {
+          HandleRolloutStatus(scope, item);
+        } else if constexpr (std::is_same_v<Item, RolloutStatusWritten>) {
+          HandleRolloutStatusWritten(scope, item);
         } else if constexpr (std::is_same_v<Item, UpstreamListed>) {
           ListUpstream(scope, item);
           if (!IsScheduled(state.timers, {TimerKind::kEntryReports, 0})) {
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -34,6 +34,8 @@
   /// Number of calls to stop the generation for a migration that may have taken effect. Once one
   /// has, the engine ends the stream before its last event.
   int stop_calls{0};
+  /// Version of the upstream.
+  std::string version{};
 };
 
 enum class MigrationStep : std::uint8_t {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -15,6 +15,7 @@
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/request.h"
 #include "snipeturn/entry/retry_budget.h"
+#include "snipeturn/entry/rollout_state.h"
 #include "snipeturn/entry/service_times.h"
 #include "snipeturn/entry/upstream.h"
 #include "snipeturn/quarantine/suspects.h"
@@ -188,6 +189,8 @@
   std::map<AttemptKey, RequestKey> request_by_attempt;
   std::map<std::uint64_t, OrphanCopy> orphan_copies;
   QuarantineState quarantine;
+  /// By service; empty unless the options enable roll-outs.
+  std::map<std::string, ServiceVersions> rollouts;
   /// By service.
   std::map<std::string, RetryBudget> retry_budgets;
   /// By route.
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -11,6 +11,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/store_updates.h"
 
 namespace snipeturn::entry {
@@ -106,6 +107,7 @@
   store.copy_list_end.reset();
   Schedule(scope.state.timers, {TimerKind::kEntryCopyHold, 0}, *store.copy_held_until);
   scope.effects.push_back(ReadSnapshots{});
+  RepublishRollouts(scope);
   AwaitVersions(scope);
 }
 
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -15,6 +15,7 @@
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/upstream_signals.h"
 
@@ -291,6 +292,7 @@
   if (!AcceptEntry(scope, event)) {
     return;
   }
+  NoteVersion(scope, entry);
   auto found = state.upstreams.find(entry.id);
   const bool is_new_incarnation =
       found == state.upstreams.end() ||
