--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -223,7 +223,7 @@
 class World:
     """The simulated platform, the daemons, and the observations that the checks use."""
 
-    store_type = Store
+    store_type, link_type = Store, Proxy
     plain_services = ("plain",)
     drain_s = 1.0
     revoke_s = REVOKE_S
@@ -427,8 +427,9 @@
         await self.configure()
         for is_engine in (True, True, True, False, False):
             await self.add_upstream(is_engine)
-        self.daemons = [Daemon(self, f"host-{number}", await Proxy(self.store_proxy.port).start())
-                        for number in range(daemons)]
+        self.daemons = [
+            Daemon(self, f"host-{number}", await self.link_type(self.store_proxy.port).start())
+            for number in range(daemons)]
         for daemon in self.daemons:
             await daemon.start()
 
@@ -592,7 +593,7 @@
     return None
 
 
-async def caller(world, end):
+async def caller(world, end, kinds=("stream", "unsafe", "unsafe", "safe")):
     """Sends requests to random daemons until `end`; keeps a connection while it stays usable.
 
     It stays with a stopping daemon until the process is gone.
@@ -601,7 +602,7 @@
     while time.monotonic() < end:
         if connection is None and not (daemon and daemon.stopping):
             daemon = world.random.choice(world.daemons)
-        kind = world.random.choice(("stream", "unsafe", "unsafe", "safe"))
+        kind = world.random.choice(kinds)
         connection = await send_call(world, daemon, connection, kind)
         await asyncio.sleep(world.random.uniform(0.005, 0.05))
     if connection:
