Roll-outs: a status counts for the order whose offset it names

A repeated order has the target of the earlier one. Whether a final status belonged to it was judged by the order's age, so a host that restarts, or a store that answers after more than a second, ended a new order by the state of the one before. Statuses are written with the order's offset now, and one that names another order doesn't end this one; statuses without an order are judged as before. Tested: the new test and 18 others of [entry_rollout] pass.

--- a/src/snipeturn/entry/rollouts.cc
+++ b/src/snipeturn/entry/rollouts.cc
@@ -283,8 +283,11 @@
   const StatusStep step = std::exchange(active.step, StatusStep::kIdle);
   const bool is_same = event.status && event.status->target == active.order.target;
   const bool has_ended = is_same && event.status->state != RolloutState::kRunning;
+  // Statuses of other writers don't name their order.
   const bool may_be_ours =
-      active.published || !active.is_fresh || RolloutAge(active, scope.now) >= kMinFinalAge;
+      event.status && event.status->order
+          ? *event.status->order == active.order.offset
+          : active.published || !active.is_fresh || RolloutAge(active, scope.now) >= kMinFinalAge;
   if (has_ended && may_be_ours) {
     active.published = event.status->state;
     const auto phase = event.status->state == RolloutState::kSucceeded
@@ -303,8 +306,8 @@
   } else if (step == StatusStep::kReading && active.wanted) {
     active.step = StatusStep::kWriting;
     active.step_at = scope.now;
-    scope.effects.push_back(
-        WriteRolloutStatus{event.service, {active.order.target, *active.wanted}, event.end});
+    scope.effects.push_back(WriteRolloutStatus{
+        event.service, {active.order.target, *active.wanted, active.order.offset}, event.end});
   }
 }
 
