--- a/test/process/rollout_test.py
+++ b/test/process/rollout_test.py
@@ -146,6 +146,21 @@
         self.report("final state by the time limit", [
             f"{self.final_at - self.rollout.limit_at():.2f} s late"] if late else [])
 
+    async def lose_store(self, copy):
+        """Lets the store return from a copy; what it lost is written again soon after."""
+        self.has_rewritten = False
+        self.store.leave("reset")
+        await asyncio.sleep(0.4)
+        await self.store.restore(copy)
+        await asyncio.sleep(0.5)
+        await self.rewrite()
+
+    def report_detection(self):
+        """A bad version is found before more than this number of its responses were bad."""
+        bad = sum(item.is_bad for item in self.rollout.received)
+        self.report(f"found by {rollouts.BAD_RESPONSES} bad responses",
+                    [] if bad <= rollouts.BAD_RESPONSES else [f"{bad} were bad"])
+
     def report_rules(self):
         received = self.rollout.received
         target = [item for item in received if item.version == "v2"
@@ -168,6 +183,8 @@
     await asyncio.gather(*world.callers)
     world.report_state(expected)
     world.report_rules()
+    if expected == "rolled_back":
+        world.report_detection()
 
 
 async def run_sound(world):
@@ -242,6 +259,33 @@
     await run_order(world, "bad_later", "rolled_back", restart_hosts)
 
 
+async def return_store(world):
+    """The store returns from a copy that knows the order, while the version isn't bad yet."""
+    await asyncio.sleep(1.0)
+    copy = world.store.copy()
+    await asyncio.sleep(1.0)
+    await world.lose_store(copy)
+
+
+async def run_store_return(world):
+    await run_order(world, "bad_later", "rolled_back", return_store)
+
+
+async def lose_final_state(world):
+    """The store returns from a copy that doesn't know the final state."""
+    await asyncio.sleep(0.4)
+    copy = world.store.copy()
+    while world.final_at is None:
+        await asyncio.sleep(0.1)
+    await asyncio.sleep(0.2)
+    await world.lose_store(copy)
+
+
+async def run_final_state_lost(world):
+    await run_order(world, "slow", "rolled_back", lose_final_state)
+    world.report("the store returned", [] if world.store.era > 7 else ["it didn't"])
+
+
 async def run_not_enabled(world):
     """Without the contract versions and orders don't count, and the store gets no further call."""
     await world.begin("sound")
@@ -269,6 +313,8 @@
           "writer_killed_bad": (RolloutWorld, run_writer_killed_bad, "plain"),
           "lost_response": (RolloutWorld, run_lost_response, "plain"),
           "restarts": (RolloutWorld, run_restarts, "plain"),
+          "store_return": (RolloutWorld, run_store_return, "plain"),
+          "final_state_lost": (RolloutWorld, run_final_state_lost, "plain"),
           "not_enabled": (PlainWorld, run_not_enabled, "plain")}
 
 
