Callers that read no responses are held back, and their memory and descriptors bounded

Cause: a connection's next pipelined request was parsed as soon as the response to the last one was written to an unbounded buffer, by a recursion of FinishExchange and ParseNext; nothing bounded the buffers of all callers, nor their connections. An assigned empty string kept the capacity of the input. Change: no further request is begun while 64 KB wait unread; at most 16 requests a turn; unread responses, requests and bytes that weren't begun have accounts (a fifth, two fifths and a fifth of memory_mb); callers without progress for 1 s are closed first, the largest first; a caller that reads nothing for the idle timeout is closed also while its request is open; a kernel holds 128 KB for a caller in each direction; callers' connections leave descriptors for the readiness port, upstreams and the store, the oldest idle one is closed first; a failed accept is repeated after 50 ms; refusals by the caller's fault have at most 20 lines a second by client and reason; counters and gauges.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -65,6 +65,8 @@
 inline constexpr LogEvent kLimitEnded{862, "upstream_limit_ended", LogLevel::kInfo};
 inline constexpr LogEvent kPauseStated{864, "upstream_pause_stated", LogLevel::kWarning};
 inline constexpr LogEvent kPauseEnded{865, "upstream_pause_ended", LogLevel::kInfo};
+inline constexpr LogEvent kCallerClosed{871, "caller_closed", LogLevel::kWarning};
+
 inline constexpr LogEvent kSignalUnreadable{863, "upstream_signal_unreadable", LogLevel::kWarning};
 
 }  // namespace log_events
@@ -75,6 +77,8 @@
 inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
 inline constexpr CounterName kStoreReturns{"snipeturn_store_returns_total", "source"};
 inline constexpr CounterName kCopyIgnored{"snipeturn_store_copy_ignored_total", "kind"};
+inline constexpr CounterName kClosedCallers{"snipeturn_closed_callers_total", "reason"};
+inline constexpr CounterName kSuppressedLines{"snipeturn_suppressed_lines_total", "reason"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "snipeturn/loop/boot_clock.h"
@@ -14,6 +15,13 @@
 /// Buffered bytes of pipelined requests at which reading stops until the open request has its
 /// response.
 constexpr std::size_t kMaxPipelinedBytes = 65536;
+/// Unread bytes of responses at which no further request is begun. The kernel holds more before
+/// any byte waits here, so a caller that reads its responses isn't slowed by this.
+constexpr std::size_t kMaxUnreadBytes = 65536;
+/// Requests of one connection that are handed over before others get a turn.
+constexpr int kMaxRequestsPerTurn = 16;
+/// Capacity from which an empty input buffer is given back: idle connections keep none.
+constexpr std::size_t kMaxIdleCapacity = 4096;
 /// Bodies up to this size don't wait for memory.
 constexpr std::size_t kSmallBodyBytes = 65536;
 /// Copies of a request: the one that is kept, and the one that is being sent.
@@ -26,14 +34,17 @@
 
 CallerConnection::CallerConnection(ConnectionKey key,
                                    Connection::Socket socket,
-                                   std::shared_ptr<MemoryAccount> output,
-                                   std::shared_ptr<MemoryAccount> input)
+                                   CallerAccounts accounts)
     : key_(key),
       connection_(std::make_shared<Connection>(std::move(socket))),
-      output_memory_(std::move(output)),
-      input_memory_(std::move(input)) {}
+      output_memory_(std::move(accounts.output)),
+      request_memory_(std::move(accounts.requests)),
+      input_memory_(std::move(accounts.input)) {}
 
 void CallerConnection::Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now) {
+  boost::system::error_code error;
+  const auto peer = connection_->socket().remote_endpoint(error);
+  peer_address_ = error ? "-" : peer.address().to_string();
   handlers_ = std::move(handlers);
   limits_ = limits;
   phase_started_at_ = now;
@@ -54,35 +65,94 @@
     if (!self) {
       return;
     }
-    self->output_memory_.Set(0);
+    self->CountOutput();
     if (self->is_closing_ && !self->is_discarding_) {
       self->NotifyClosed();
-    } else if (self->has_open_request_ && self->handlers_.on_flushed) {
+    } else if (!self->has_open_request_) {
+      self->ParseNext();
+    } else if (self->handlers_.on_flushed) {
       self->handlers_.on_flushed(self->key_);
     }
   };
   connection_->DeliverAfterClose();
+  connection_->LimitKernelOutput();
   connection_->Start(std::move(own));
 }
 
 void CallerConnection::HandleBytes(std::string_view bytes) {
-  if (is_closing_) {
+  if (is_closing_ || drops_input_) {
     return;  // The rest of a rejected request, or a request after the last response.
   }
   input_.append(bytes.data(), bytes.size());
-  if (has_open_request_) {
-    if (input_.size() > internal::kMaxPipelinedBytes) {
-      connection_->SetReading(false);
-    }
-    return;
-  }
   ParseNext();
 }
 
+bool CallerConnection::CanParse() const {
+  return !input_.empty() && !has_open_request_ && !is_closing_ && !awaits_memory_ &&
+         connection_->is_open() && connection_->unwritten_bytes() <= internal::kMaxUnreadBytes;
+}
+
 void CallerConnection::ParseNext() {
-  if (input_.empty() || has_open_request_ || !connection_->is_open()) {
+  if (is_parsing_ || parses_later_) {
+    return;  // The loop below, or the turn that was posted, goes on with the input.
+  }
+  const auto self = shared_from_this();
+  is_parsing_ = true;
+  int requests = 0;
+  while (CanParse()) {
+    if (requests == internal::kMaxRequestsPerTurn) {
+      ParseLater();
+      break;
+    }
+    ++requests;
+    if (!ParseRequest()) {
+      break;
+    }
+  }
+  is_parsing_ = false;
+  UpdateInput();
+}
+
+void CallerConnection::ParseLater() {
+  parses_later_ = true;
+  boost::asio::post(connection_->socket().get_executor(), [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->parses_later_ = false;
+      self->ParseNext();
+    }
+  });
+}
+
+void CallerConnection::UpdateInput() {
+  if (is_closing_ || notified_closed_ || !connection_->is_open()) {
     return;
   }
+  const bool waits = has_open_request_ || parses_later_ ||
+                     connection_->unwritten_bytes() > internal::kMaxUnreadBytes;
+  const bool is_paused = awaits_memory_ || (waits && input_.size() > internal::kMaxPipelinedBytes);
+  connection_->SetReading(!is_paused);
+  if (!is_paused) {
+    kernel_input_ = 0;
+  }
+  if (input_.empty() && input_.capacity() > internal::kMaxIdleCapacity) {
+    std::string().swap(input_);
+  }
+  CountInput();
+  const MemoryAccount* account = input_memory_.account();
+  if (account != nullptr && account->is_exceeded() && handlers_.on_input_exceeded) {
+    handlers_.on_input_exceeded();
+  }
+}
+
+void CallerConnection::CountInput() {
+  input_memory_.Set(input_.size() + kernel_input_ + (awaits_memory_ ? parser_->body_bytes() : 0));
+}
+
+void CallerConnection::CountOutput() {
+  output_memory_.Set(unread_bytes());
+}
+
+bool CallerConnection::ParseRequest() {
   if (!parser_->has_begun()) {
     phase_started_at_ = BootTime();
   }
@@ -92,35 +162,41 @@
       // The parser leaves incomplete heads, chunk headers and trailers in the buffer.
       if (input_.size() > limits_.max_header_bytes) {
         RejectRequest(431, "header_too_large");
-        return;
+        return false;
       }
       if (parser_->is_head_done() && !ReserveBody()) {
         awaits_memory_ = true;
         phase_started_at_ = BootTime();
-        connection_->SetReading(false);
-        return;
+        return false;
       }
       SendContinueIfExpected();
-      return;
+      return false;
     }
     case ParseStatus::kHeaderTooLarge:
       RejectRequest(431, "header_too_large");
-      return;
+      return false;
     case ParseStatus::kBodyTooLarge:
       RejectRequest(413, "body_too_large");
-      return;
+      return false;
     case ParseStatus::kMalformed:
       RejectRequest(400, "malformed_request");
-      return;
+      return false;
     case ParseStatus::kDone:
       break;
   }
   HttpHead head = std::move(parser_->head());
   std::string body = parser_->TakeBody();
-  input_memory_.Set(internal::kRequestCopies * body.size());
+  const std::size_t bytes = internal::kRequestCopies * (body.size() + MemoryOf(head));
+  const std::size_t reserved = request_memory_.bytes();
+  if (bytes > reserved && !request_memory_.TrySet(bytes, request_memory_.overdraft())) {
+    RejectRequest(503, "no_memory", internal::kMemoryRetryFields);
+    return false;
+  }
+  request_memory_.Set(bytes);
   has_open_request_ = true;
   must_close_ = !head.keep_alive || head.version < 11;
   handlers_.on_request(key_, std::move(head), std::move(body));
+  return true;
 }
 
 void CallerConnection::SendContinueIfExpected() {
@@ -128,6 +204,7 @@
       FindField(parser_->head(), "Expect") != nullptr) {
     sent_continue_ = true;
     connection_->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    CountOutput();
   }
 }
 
@@ -137,21 +214,19 @@
   // The next read adds to a body of unknown length.
   const std::uint64_t bytes = known + (head.is_chunked ? internal::kSmallBodyBytes : 0);
   const auto needed = static_cast<std::size_t>(internal::kRequestCopies * bytes);
-  if (known <= internal::kSmallBodyBytes) {
-    input_memory_.Set(needed);
-    return true;
-  }
-  return input_memory_.TrySet(needed);
+  const bool is_small = known <= internal::kSmallBodyBytes;
+  return request_memory_.TrySet(needed, is_small ? request_memory_.overdraft() : 0);
 }
 
 void CallerConnection::RejectRequest(int status,
                                      std::string_view reason,
                                      std::string_view extra_fields) {
   if (handlers_.on_rejected) {
-    handlers_.on_rejected(status, reason);
+    handlers_.on_rejected(key_, status, reason);
   }
-  input_ = std::string();
+  std::string().swap(input_);
   parser_.emplace(HttpParser::Kind::kRequest, limits_.max_header_bytes, limits_.max_body_bytes);
+  request_memory_.Set(0);
   input_memory_.Set(0);
   awaits_memory_ = false;
   is_closing_ = is_discarding_ = true;
@@ -160,6 +235,7 @@
   connection_->Write(FormatResponse(status, "application/problem+json",
                                     fmt::format(R"({{"reason":"{}","outcome":"not_run"}})", reason),
                                     extra_fields, true));
+  CountOutput();
   connection_->EndOutputAfterWrite();
 }
 
@@ -179,13 +255,13 @@
 void CallerConnection::SendResponse(std::string_view head, std::string&& body, bool close) {
   connection_->Write(head);
   connection_->WriteOwned(std::move(body));
-  output_memory_.Set(unwritten_bytes());
+  CountOutput();
   FinishExchange(close);
 }
 
 void CallerConnection::WriteStream(std::string_view bytes) {
   connection_->Write(bytes);
-  output_memory_.Set(unwritten_bytes());
+  CountOutput();
 }
 
 void CallerConnection::FinishStreamBody(std::string_view last_bytes, bool close) {
@@ -195,18 +271,40 @@
 
 void CallerConnection::FinishExchange(bool close) {
   has_open_request_ = false;
-  input_memory_.Set(0);
+  request_memory_.Set(0);
   sent_continue_ = false;
   phase_started_at_ = BootTime();
   if (close || must_close_) {
+    std::string().swap(input_);
+    input_memory_.Set(0);
+    connection_->SetReading(true);
     CloseAfterWrite();
     return;
   }
   parser_.emplace(HttpParser::Kind::kRequest, limits_.max_header_bytes, limits_.max_body_bytes);
-  connection_->SetReading(true);
   ParseNext();
 }
 
+void CallerConnection::Disconnect() {
+  connection_->Close();
+  HandleConnectionEnd();
+}
+
+void CallerConnection::DropInput() {
+  input_memory_.Set(0);
+  if (is_closing_) {
+    return;
+  }
+  if (!has_open_request_) {
+    RejectRequest(503, "no_memory", internal::kMemoryRetryFields);
+    return;
+  }
+  drops_input_ = must_close_ = true;
+  std::string().swap(input_);
+  kernel_input_ = 0;
+  connection_->SetReading(true);
+}
+
 void CallerConnection::Abort() {
   has_open_request_ = false;
   connection_->Close();
@@ -223,6 +321,7 @@
 
 void CallerConnection::NotifyClosed() {
   output_memory_.Set(0);
+  request_memory_.Set(0);
   input_memory_.Set(0);
   if (!notified_closed_) {
     notified_closed_ = true;
@@ -232,12 +331,20 @@
 
 void CallerConnection::CheckTimeouts(TimePoint now) {
   connection_->CheckAcknowledgements(now);
-  output_memory_.Set(unwritten_bytes());
+  kernel_output_ = connection_->unacknowledged_bytes();
+  CountOutput();
+  if (!connection_->is_reading()) {
+    // Bytes that arrived before the pause, and those that the closed window still let in.
+    kernel_input_ = connection_->ReadUnreadInput();
+    CountInput();
+  }
+  if (unread_bytes() > 0 &&
+      now - std::max(phase_started_at_, connection_->latest_progress()) > limits_.idle_timeout) {
+    // Nothing else ends a caller that reads nothing.
+    Disconnect();
+    return;
+  }
   if (!has_open_request_ && connection_->unwritten_bytes() > 0) {
-    // Nothing else ends a caller that reads nothing of its last response.
-    if (now - std::max(phase_started_at_, connection_->latest_progress()) > limits_.idle_timeout) {
-      Abort();
-    }
     return;
   }
   if (is_discarding_ && now - phase_started_at_ > limits_.header_timeout) {
@@ -251,7 +358,7 @@
     if (ReserveBody()) {
       awaits_memory_ = false;
       phase_started_at_ = now;
-      connection_->SetReading(true);
+      UpdateInput();
       SendContinueIfExpected();
     } else if (now - phase_started_at_ > limits_.header_timeout) {
       RejectRequest(503, "no_memory", internal::kMemoryRetryFields);
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -25,8 +25,19 @@
   std::chrono::milliseconds idle_timeout{15000};
 };
 
+/// The accounts of the memory that callers' connections take.
+struct CallerAccounts {
+  /// Bytes that wait for callers to read them, in the process and in the kernel; may be null.
+  std::shared_ptr<MemoryAccount> output;
+  /// Requests, from the first byte of the body to the end of the response; may be null.
+  std::shared_ptr<MemoryAccount> requests;
+  /// Bytes of requests that weren't begun, or whose head isn't complete; may be null.
+  std::shared_ptr<MemoryAccount> input;
+};
+
 /// Server side of a caller's connection: hands over one request at a time, so that responses keep
-/// the order of the requests.
+/// the order of the requests. While responses wait for the caller to read them, it begins no
+/// further request.
 class CallerConnection : public std::enable_shared_from_this<CallerConnection> {
  public:
   struct Handlers {
@@ -38,16 +49,12 @@
     /// The output buffer has drained while a request was open.
     std::function<void(ConnectionKey)> on_flushed;
     /// A request was rejected before it was handed over, with a response that names the reason.
-    std::function<void(int status, std::string_view reason)> on_rejected;
+    std::function<void(ConnectionKey, int status, std::string_view reason)> on_rejected;
+    /// Bytes of requests that weren't begun exceed their account; optional.
+    std::function<void()> on_input_exceeded;
   };
 
-  /// @param output Account of the bytes that wait for the caller to read them; may be null.
-  /// @param input Account of the requests, from the first byte of the body to the end of the
-  ///     response; may be null.
-  CallerConnection(ConnectionKey key,
-                   Connection::Socket socket,
-                   std::shared_ptr<MemoryAccount> output = nullptr,
-                   std::shared_ptr<MemoryAccount> input = nullptr);
+  CallerConnection(ConnectionKey key, Connection::Socket socket, CallerAccounts accounts = {});
 
   void Start(Handlers handlers, const ConnectionLimits& limits, TimePoint now);
 
@@ -67,16 +74,42 @@
   /// @brief Closes at once, so that the caller doesn't take a partial response for a complete one.
   void Abort();
 
+  /// @brief Closes at once, and reports that the caller has gone if a request is open.
+  void Disconnect();
+
+  /// @brief Gives up the bytes of requests that weren't begun. A request whose head or body is
+  ///     incomplete is rejected as not run; pipelined ones are dropped, and the connection closes
+  ///     after the response to the open request, so that their caller sends them again.
+  void DropInput();
+
   /// @brief Sets new limits, which apply from the next request on.
   void SetLimits(const ConnectionLimits& limits) { limits_ = limits; }
 
   /// @brief States how many bytes of memory the open request takes.
   void SetRequestMemory(std::size_t bytes) {
     if (has_open_request_) {
-      input_memory_.Set(bytes);
+      request_memory_.Set(bytes);
     }
   }
 
+  /// @brief Tells whether bytes wait for the caller, and since when it has read none.
+  /// @return The time of the last progress; nothing if no bytes wait.
+  [[nodiscard]] std::optional<TimePoint> UnreadSince() const noexcept {
+    return unread_bytes() == 0 ? std::nullopt : std::optional(connection_->latest_progress());
+  }
+  /// @return Bytes that wait for the caller, in the process and in the kernel.
+  [[nodiscard]] std::size_t unread_bytes() const noexcept {
+    return connection_->unwritten_bytes() + kernel_output_;
+  }
+  /// @return Bytes of requests that weren't begun or wait for memory, in the process and in the
+  ///     kernel.
+  [[nodiscard]] std::size_t waiting_input_bytes() const noexcept { return input_memory_.bytes(); }
+  /// @return When the idle time or the current request began.
+  [[nodiscard]] TimePoint phase_started_at() const noexcept { return phase_started_at_; }
+  [[nodiscard]] bool has_open_request() const noexcept { return has_open_request_; }
+  /// @return The caller's address, without its port.
+  [[nodiscard]] const std::string& peer_address() const noexcept { return peer_address_; }
+
   /// @brief Closes the connection when it was idle for too long, and rejects a request whose bytes
   ///     arrive too slowly, or which gets no memory in time. Keeps a caller that reads slowly from
   ///     being taken for unreachable.
@@ -99,7 +132,16 @@
  private:
   void HandleBytes(std::string_view bytes);
   void HandleConnectionEnd();
+  /// Hands over requests until one is open, none is whole, or the caller has to read first.
   void ParseNext();
+  /// Parses one request and hands it over; returns false if no further one can follow at once.
+  bool ParseRequest();
+  [[nodiscard]] bool CanParse() const;
+  void ParseLater();
+  /// Pauses or resumes reading, by what waits, and counts it.
+  void UpdateInput();
+  void CountInput();
+  void CountOutput();
   void FinishExchange(bool close);
   void RejectRequest(int status, std::string_view reason, std::string_view extra_fields = "");
   /// Takes memory for a body that is still arriving; returns false if there is none.
@@ -109,17 +151,26 @@
   void NotifyClosed();
 
   ConnectionKey key_;
+  std::string peer_address_;
   std::shared_ptr<Connection> connection_;
   Handlers handlers_;
   ConnectionLimits limits_;
   std::string input_;
   MemoryShare output_memory_;
+  MemoryShare request_memory_;
   MemoryShare input_memory_;
+  /// Bytes in the kernel, sent and received, by the last check.
+  std::size_t kernel_output_{0};
+  std::size_t kernel_input_{0};
   std::optional<HttpParser> parser_;
   /// A request was handed over and has no complete response yet.
   bool has_open_request_{false};
   bool must_close_{false};
   bool sent_continue_{false};
+  bool is_parsing_{false};
+  bool parses_later_{false};
+  /// Pipelined requests were dropped; further bytes are discarded.
+  bool drops_input_{false};
   /// Reading is paused until there is memory for the body.
   bool awaits_memory_{false};
   /// A rejected request: what the caller still sends is discarded.
--- a/src/snipeturn/loop/connection.cc
+++ b/src/snipeturn/loop/connection.cc
@@ -36,6 +36,12 @@
 /// Probes of the window may be kMaxUnacknowledged apart.
 constexpr std::chrono::milliseconds kMaxSilence{3000};
 
+/// Unsent bytes at which the kernel accepts no more output for a caller. By default it accepts some
+/// MB, which count as memory of the host.
+constexpr int kMaxUnsentKernelBytes = 131072;
+/// Capacity from which an empty output buffer is given back: idle connections keep none.
+constexpr std::size_t kMaxIdleCapacity = 16384;
+
 void SetOption(int descriptor, int level, int name, int value) {
   // Errors are ignored: without these options an unreachable peer is only detected later.
   static_cast<void>(::setsockopt(descriptor, level, name, &value, sizeof value));
@@ -152,6 +158,7 @@
   const int descriptor = socket_.native_handle();
   const auto unacknowledged = internal::ReadUnacknowledged(descriptor);
   if (!unacknowledged || *unacknowledged > written_bytes_) {
+    acknowledged_bytes_ = written_bytes_;  // Unknown.
     return;
   }
   const std::uint64_t acknowledged_bytes = written_bytes_ - *unacknowledged;
@@ -183,6 +190,17 @@
                       static_cast<int>(limit.count()));
 }
 
+void Connection::LimitKernelOutput() {
+  internal::SetOption(socket_.native_handle(), IPPROTO_TCP, TCP_NOTSENT_LOWAT,
+                      internal::kMaxUnsentKernelBytes);
+}
+
+std::size_t Connection::ReadUnreadInput() {
+  boost::system::error_code error;
+  const std::size_t bytes = is_open_ ? socket_.available(error) : 0;
+  return error ? 0 : bytes;
+}
+
 void Connection::SetReading(bool is_reading) {
   is_reading_ = is_reading;
   if (is_reading_) {
@@ -244,8 +262,14 @@
   socket_.async_wait(Socket::wait_write,
                      [self = shared_from_this()](const boost::system::error_code& error) {
                        self->awaits_writable_ = false;
-                       if (!error) {
-                         self->Flush();
+                       if (error) {
+                         return;
+                       }
+                       const std::uint64_t before = self->written_bytes_;
+                       self->Flush();
+                       if (self->written_bytes_ > before) {
+                         // The kernel has room again because the peer has read.
+                         self->latest_progress_ = BootTime();
                        }
                      });
 }
@@ -276,7 +300,7 @@
   }
   output_start_ = 0;
   // Gives the memory of a large output back.
-  output_.size() > internal::kReadBytes ? std::string().swap(output_) : output_.clear();
+  output_.capacity() > internal::kMaxIdleCapacity ? std::string().swap(output_) : output_.clear();
   if (closes_after_write_) {
     Close();
   } else if (ends_output_after_write_) {
--- a/src/snipeturn/loop/connection.h
+++ b/src/snipeturn/loop/connection.h
@@ -83,12 +83,26 @@
   ///     the request has gone.
   void DeliverAfterClose() noexcept { delivers_after_close_ = true; }
 
+  /// @brief Bounds the bytes that the kernel keeps for a peer that doesn't read.
+  ///     For connections to callers: their number isn't bounded by this host's own work.
+  void LimitKernelOutput();
+
+  /// @return Bytes that the kernel has received and that weren't read.
+  [[nodiscard]] std::size_t ReadUnreadInput();
+
   /// @return When the peer acknowledged new bytes last, as far as this is known.
   [[nodiscard]] TimePoint latest_progress() const noexcept { return latest_progress_; }
   [[nodiscard]] bool is_open() const noexcept { return is_open_; }
+  [[nodiscard]] bool is_reading() const noexcept { return is_reading_; }
   [[nodiscard]] std::size_t unwritten_bytes() const noexcept {
     return output_.size() - output_start_;
   }
+  /// @return Bytes that the kernel keeps because the peer hasn't acknowledged them, by the last
+  /// call
+  ///     of CheckAcknowledgements().
+  [[nodiscard]] std::size_t unacknowledged_bytes() const noexcept {
+    return static_cast<std::size_t>(written_bytes_ - acknowledged_bytes_);
+  }
   /// @return Bytes that the socket has accepted so far.
   [[nodiscard]] std::uint64_t written_bytes() const noexcept { return written_bytes_; }
   [[nodiscard]] Socket& socket() noexcept { return socket_; }
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -18,6 +18,9 @@
 constexpr std::size_t kMaxResponseBytes = 8U << 20U;
 /// Responses up to this size aren't broken off for the memory of all.
 constexpr std::size_t kSmallResponseBytes = 65536;
+/// Time without progress after which a caller counts as one that doesn't read, when memory is
+/// short. Callers in other regions read within a round trip.
+constexpr std::chrono::milliseconds kMinSilence{1000};
 /// Largest server-sent event; usual events have some KB.
 constexpr std::size_t kMaxEventBytes = 256U << 10U;
 /// Largest response to a call of this host's own; a report lists all generations of an engine.
@@ -62,6 +65,7 @@
     encoded.resume->events = open_request.last_event_id;
   }
   const entry::AttemptKey key = send.attempt;
+  static_cast<void>(LimitConnections(descriptors_.for_upstreams()));
   ActiveAttempt attempt;
   attempt.request = send.request;
   attempt.upstream = send.upstream;
@@ -87,7 +91,7 @@
     HandleAttemptEnd(key, result, reason);
   };
   if (const auto connection = FindConnection(open_request.connection)) {
-    const std::size_t kept = open_request.body.size();
+    const std::size_t kept = open_request.body.size() + MemoryOf(open_request.head);
     connection->SetRequestMemory(kept + call.bytes.size());
     handlers.on_sent = [weak = std::weak_ptr<CallerConnection>(connection), kept] {
       if (const auto caller = weak.lock()) {
@@ -178,24 +182,32 @@
 }
 
 void EntryRuntime::LimitResponseMemory() {
-  while (response_memory_->is_exceeded()) {
-    const auto largest = std::max_element(
-        active_attempts_.begin(), active_attempts_.end(), [](const auto& left, const auto& right) {
-          return left.second.memory.bytes() < right.second.memory.bytes();
-        });
-    if (largest == active_attempts_.end() ||
-        largest->second.memory.bytes() <= internal::kSmallResponseBytes) {
-      return;
-    }
-    const entry::AttemptKey key = largest->first;
-    client_.Cancel(largest->second.exchange);
-    HandleAttemptEnd(key, ExchangeResult::kBroken,
-                     fmt::format("{}: {} bytes, and all responses together take {} of {}",
-                                 kUnboundedResponse, largest->second.memory.bytes(),
-                                 response_memory_->used, response_memory_->limit));
+  // Callers that don't read come first, responses of ordinary callers after them, and callers that
+  // read slowly last.
+  while (response_memory_->is_exceeded() &&
+         (CloseMostUnread(0, internal::kMinSilence) || BreakOffLargestResponse() ||
+          CloseMostUnread(internal::kSmallResponseBytes, std::chrono::milliseconds{0}))) {
   }
 }
 
+bool EntryRuntime::BreakOffLargestResponse() {
+  const auto largest = std::max_element(
+      active_attempts_.begin(), active_attempts_.end(), [](const auto& left, const auto& right) {
+        return left.second.memory.bytes() < right.second.memory.bytes();
+      });
+  if (largest == active_attempts_.end() ||
+      largest->second.memory.bytes() <= internal::kSmallResponseBytes) {
+    return false;
+  }
+  const entry::AttemptKey key = largest->first;
+  client_.Cancel(largest->second.exchange);
+  HandleAttemptEnd(
+      key, ExchangeResult::kBroken,
+      fmt::format("{}: {} bytes, and all responses together take {} of {}", kUnboundedResponse,
+                  largest->second.memory.bytes(), response_memory_->used, response_memory_->limit));
+  return true;
+}
+
 void EntryRuntime::HandleStreamEvents(entry::AttemptKey key, ActiveAttempt& attempt) {
   const auto open_request = open_requests_.find(attempt.request);
   if (open_request == open_requests_.end() || attempt.has_missing_event) {
@@ -379,6 +391,7 @@
   if (connection == nullptr) {
     return;
   }
+  last_refusal_ = Refusal{connection->peer_address(), refuse.status, std::string(refuse.reason)};
   if (is_started) {
     connection->Abort();
     return;
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -1,10 +1,9 @@
 #include "snipeturn/loop/entry_runtime.h"
 
 #include <fmt/format.h>
+#include <sys/resource.h>
 
 #include <algorithm>
-#include <array>
-#include <boost/asio/ip/address.hpp>
 #include <string_view>
 #include <type_traits>
 #include <utility>
@@ -14,15 +13,12 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/load.h"
-#include "snipeturn/entry/upstream_signals.h"
 #include "snipeturn/loop/boot_clock.h"
 
 namespace snipeturn::loop {
 namespace internal {
 namespace {
 
-/// Length of the queue of connections that wait to be accepted.
-constexpr int kBacklog = 1024;
 /// Period of timeout checks, log flushes and load broadcasts.
 constexpr std::chrono::milliseconds kHousekeepingInterval{100};
 /// Delay of the periodic work at which it is logged.
@@ -39,41 +35,17 @@
 /// Part (m/n) of it that requests may take together: they are kept until they are answered.
 constexpr std::size_t kRequestMemoryFactor = 2;
 constexpr std::size_t kRequestMemoryDivisor = 5;
+/// Part (1/n) of it that bytes of requests that weren't begun may take together.
+constexpr std::size_t kInputMemoryDivisor = 5;
 
-/// Gauges of one kind of statement of upstreams.
-struct StatementGauges {
-  backpressure::SignalKind kind;
-  std::string_view value;
-  std::string_view seen;
-  std::string_view kept_back;
-};
-
-constexpr std::array<StatementGauges, 3> kStatementGauges{{
-    {backpressure::SignalKind::kLimit, "snipeturn_upstream_limit_per_second",
-     "snipeturn_upstream_limits_seen", "snipeturn_upstream_limit_kept_back"},
-    {backpressure::SignalKind::kPause, "snipeturn_upstream_pause_seconds",
-     "snipeturn_upstream_pauses_seen", "snipeturn_upstream_pause_kept_back"},
-    {backpressure::SignalKind::kLeaving, "snipeturn_upstream_leaving_seconds",
-     "snipeturn_upstream_leavings_seen", "snipeturn_upstream_leaving_kept_back"},
-}};
-
-/// Makes gauges of the statements of upstreams that are in force.
-std::vector<Gauge> MakeStatementGauges(const entry::State& state, TimePoint now) {
-  std::vector<Gauge> gauges;
-  for (const StatementGauges& names : kStatementGauges) {
-    const std::vector<entry::StatementInForce> statements =
-        entry::StatementsInForce(state, names.kind, now);
-    const auto add = [&](std::string_view name, auto value_of) {
-      for (const entry::StatementInForce& statement : statements) {
-        gauges.push_back({std::string(name), "upstream", statement.upstream,
-                          static_cast<double>(value_of(statement))});
-      }
-    };
-    add(names.value, [](const auto& statement) { return statement.value; });
-    add(names.seen, [](const auto& statement) { return statement.count.seen; });
-    add(names.kept_back, [](const auto& statement) { return statement.count.kept_back; });
-  }
-  return gauges;
+/// Header fields of the response to a request that got no memory: others end meanwhile.
+constexpr std::string_view kMemoryRetryFields = "Retry-After: 1\r\n";
+
+/// Returns the number of descriptors that the process may use.
+std::size_t DescriptorLimit(std::size_t stated) {
+  rlimit limit{};
+  const std::size_t allowed = ::getrlimit(RLIMIT_NOFILE, &limit) == 0 ? limit.rlim_cur : stated;
+  return stated == 0 ? allowed : std::min(stated, allowed);
 }
 
 WallTime ReadWallTime() {
@@ -100,7 +72,10 @@
       response_memory_(std::make_shared<MemoryAccount>(
           MemoryAccount{options_.memory / internal::kResponseMemoryDivisor, 0})),
       request_memory_(std::make_shared<MemoryAccount>(MemoryAccount{
-          options_.memory / internal::kRequestMemoryDivisor * internal::kRequestMemoryFactor, 0})) {
+          options_.memory / internal::kRequestMemoryDivisor * internal::kRequestMemoryFactor, 0})),
+      input_memory_(std::make_shared<MemoryAccount>(
+          MemoryAccount{options_.memory / internal::kInputMemoryDivisor, 0})),
+      descriptors_{internal::DescriptorLimit(options_.max_descriptors)} {
   state_.options = options_.entry;
 }
 
@@ -134,147 +109,18 @@
   return std::nullopt;
 }
 
-std::optional<std::string> EntryRuntime::Listen(Acceptor& acceptor,
-                                                const Endpoint& endpoint,
-                                                Listener kind) {
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(endpoint.address, error);
-  const boost::asio::ip::tcp::endpoint local(address, static_cast<std::uint16_t>(endpoint.port));
-  if (!error) {
-    acceptor.open(local.protocol(), error);
-  }
-  if (!error) {
-    acceptor.set_option(Acceptor::reuse_address(true), error);
-    acceptor.bind(local, error);
-  }
-  if (!error) {
-    acceptor.listen(internal::kBacklog, error);
-  }
-  if (error) {
-    return fmt::format("{}:{}: {}", endpoint.address, endpoint.port, error.message());
-  }
-  Accept(acceptor, kind);
-  return std::nullopt;
-}
-
-void EntryRuntime::Accept(Acceptor& acceptor, Listener kind) {
-  acceptor.async_accept(
-      [this, &acceptor, kind](const boost::system::error_code& error, Connection::Socket socket) {
-        // The connection may have been accepted just before the listener was closed.
-        if (!error) {
-          AddConnection(std::move(socket), kind);
-        }
-        if (acceptor.is_open()) {
-          Accept(acceptor, kind);
-        }
-      });
-}
-
-ConnectionLimits EntryRuntime::CurrentLimits() const {
-  if (!state_.desired) {
-    return {};
-  }
-  const entry::CallerLimits& limits = state_.desired->caller_limits;
-  return {limits.max_header_bytes, limits.max_body_bytes, limits.header_timeout,
-          limits.idle_timeout};
-}
-
-void EntryRuntime::AddConnection(Connection::Socket socket, Listener kind) {
-  const ConnectionKey key = next_connection_++;
-  auto connection =
-      std::make_shared<CallerConnection>(key, std::move(socket), response_memory_, request_memory_);
-  connections_[key] = connection;
-  CallerConnection::Handlers handlers;
-  switch (kind) {
-    case Listener::kFront:
-      handlers.on_request = [this](ConnectionKey from, HttpHead&& head, std::string&& body) {
-        HandleRequest(from, std::move(head), std::move(body));
-      };
-      break;
-    case Listener::kReady:
-      handlers.on_request = [this](ConnectionKey from, HttpHead&& head, std::string&& /*body*/) {
-        HandleReadinessCheck(from, head);
-      };
-      break;
-    case Listener::kMetrics:
-      handlers.on_request = [this](ConnectionKey from, HttpHead&& /*head*/,
-                                   std::string&& /*body*/) { HandleMetricsRequest(from); };
-      break;
+void EntryRuntime::HandleRequest(ConnectionKey key, HttpHead&& head, std::string&& body) {
+  LimitResponseMemory();
+  if (FindConnection(key) == nullptr) {
+    return;  // It had the most unread bytes.
   }
-  handlers.on_caller_disconnected = [this](ConnectionKey from) {
-    const auto found = request_by_connection_.find(from);
-    if (found != request_by_connection_.end()) {
-      const entry::RequestKey request = found->second;
-      CloseRequest(request);
-      Apply(entry::CallerDisconnected{request});
-    }
-  };
-  handlers.on_rejected = [this](int status, std::string_view reason) {
-    metrics_.Add(AddToCounter{kRefusals, std::string(reason), 1});
-    Log({entry::log_events::kRefused, fmt::format("id=- status={} reason={}", status, reason)});
-  };
-  handlers.on_closed = [this](ConnectionKey from) { connections_.erase(from); };
-  handlers.on_flushed = [this](ConnectionKey from) {
-    const auto found = request_by_connection_.find(from);
-    if (found == request_by_connection_.end()) {
-      return;
-    }
-    OpenRequest& open_request = open_requests_.at(found->second);
-    if (open_request.paused_attempt) {
-      const auto attempt = active_attempts_.find(*open_request.paused_attempt);
-      open_request.paused_attempt.reset();
-      if (attempt != active_attempts_.end()) {
-        client_.SetReading(attempt->second.exchange, true);
-      }
-    }
-  };
-  connection->Start(std::move(handlers), CurrentLimits(), BootTime());
-}
-
-void EntryRuntime::HandleReadinessCheck(ConnectionKey key, const HttpHead& head) {
-  const auto connection = FindConnection(key);
-  if (!codec_.is_readiness_check(head)) {
-    connection->SendResponse(FormatResponse(404, "text/plain", "", "", false), false);
+  if (response_memory_->used > response_memory_->limit + response_memory_->overdraft()) {
+    RefuseEarly(key, 503, "no_memory", head.target, internal::kMemoryRetryFields);
     return;
   }
-  const bool is_ready = entry::IsReady(state_, BootTime());
-  connection->SendResponse(FormatResponse(is_ready ? 200 : 503, "text/plain", "", "", false),
-                           false);
-}
-
-void EntryRuntime::HandleMetricsRequest(ConnectionKey key) {
-  std::vector<Gauge> gauges = internal::MakeStatementGauges(state_, BootTime());
-  const std::vector<Gauge> own{
-      {"snipeturn_open_requests", "", "", static_cast<double>(state_.requests.size())},
-      {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
-      {"snipeturn_opened_connections", "", "", static_cast<double>(client_.opened_connections())},
-      {"snipeturn_dropped_log_lines", "", "", static_cast<double>(log_.dropped_lines())},
-      {"snipeturn_quarantined_prompts", "", "",
-       static_cast<double>(state_.quarantine.suspects.size())},
-      {"snipeturn_crash_log_entries", "", "",
-       static_cast<double>(state_.quarantine.log.entries.size())},
-      {"snipeturn_hosts", "", "", static_cast<double>(state_.hosts)},
-      {"snipeturn_cell_hosts", "", "", static_cast<double>(entry::CellHosts(state_))},
-      {"snipeturn_response_memory_bytes", "", "", static_cast<double>(response_memory_->used)},
-      {"snipeturn_request_memory_bytes", "", "", static_cast<double>(request_memory_->used)},
-      {"snipeturn_cells_heard", "", "",
-       static_cast<double>(entry::CountLiveCells(state_, BootTime()))}};
-  gauges.insert(gauges.end(), own.begin(), own.end());
-  FindConnection(key)->SendResponse(
-      FormatResponse(200, "text/plain; version=0.0.4", metrics_.Render(gauges), "", false), false);
-}
-
-void EntryRuntime::HandleRequest(ConnectionKey key, HttpHead&& head, std::string&& body) {
   DecodedRequest decoded = codec_.decode_request(head);
   if (!decoded.head) {
-    metrics_.Add(AddToCounter{kRefusals, std::string(decoded.reason), 1});
-    Log({entry::log_events::kRefused,
-         fmt::format("id=- status=400 reason={} path={}", decoded.reason, head.target)});
-    FindConnection(key)->SendResponse(
-        FormatResponse(400, "application/problem+json",
-                       fmt::format(R"({{"reason":"{}","outcome":"not_run"}})", decoded.reason), "",
-                       true),
-        true);
+    RefuseEarly(key, 400, decoded.reason, head.target, "");
     return;
   }
   const entry::RequestKey request = next_request_++;
@@ -384,7 +230,12 @@
         } else if constexpr (std::is_same_v<Item, entry::ForgetUpstream>) {
           ForgetUpstream(item.id);
         } else if constexpr (std::is_same_v<Item, EmitLog>) {
-          Log(item);
+          if (last_refusal_ && item.event.number == entry::log_events::kRefused.number) {
+            const Refusal refusal = *std::exchange(last_refusal_, std::nullopt);
+            LogRejection(refusal.client, refusal.status, refusal.reason, std::move(item));
+          } else {
+            Log(item);
+          }
         } else if constexpr (std::is_same_v<Item, AddToCounter> ||
                              std::is_same_v<Item, RecordSample>) {
           metrics_.Add(item);
@@ -465,16 +316,6 @@
   }
 }
 
-void EntryRuntime::CheckConnectionTimeouts(TimePoint now) {
-  const ConnectionLimits limits = CurrentLimits();
-  // A timeout can remove the connection from the table.
-  const std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections = connections_;
-  for (const auto& [key, connection] : connections) {
-    connection->SetLimits(limits);
-    connection->CheckTimeouts(now);
-  }
-}
-
 void EntryRuntime::LogLoopDelay(TimePoint now) {
   const std::uint64_t datagrams = peer_socket_->received_datagrams();
   if (housekeeping_due_ && now - *housekeeping_due_ > internal::kMaxLoopDelay) {
@@ -491,6 +332,8 @@
   BroadcastLoad(now);
   SendCellLoad(now);
   CheckConnectionTimeouts(now);
+  LimitInputMemory();
+  LimitResponseMemory();
   client_.CheckConnections();
   log_.Flush();
   housekeeping_due_ = BootTime() + internal::kHousekeepingInterval;
@@ -502,21 +345,6 @@
   });
 }
 
-void EntryRuntime::AcceptPending(Acceptor& acceptor, Listener kind) {
-  boost::system::error_code error;
-  acceptor.non_blocking(true, error);
-  while (!error) {
-    Connection::Socket socket(context_);
-    acceptor.accept(socket, error);
-    if (!error) {
-      AddConnection(std::move(socket), kind);
-    }
-  }
-  if (error != boost::asio::error::would_block) {
-    Log({entry::log_events::kStopped, "waiting_connections=" + error.message()});
-  }
-}
-
 void EntryRuntime::Stop(TimePoint deadline) {
   if (is_stopped_) {
     return;
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -9,17 +10,20 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "snipeturn/base/host.h"
 #include "snipeturn/entry/load_broadcast.h"
 #include "snipeturn/entry/reducer.h"
 #include "snipeturn/loop/caller_connection.h"
+#include "snipeturn/loop/descriptor_budget.h"
 #include "snipeturn/loop/event_splitter.h"
 #include "snipeturn/loop/http_client.h"
 #include "snipeturn/loop/log_writer.h"
 #include "snipeturn/loop/memory_account.h"
 #include "snipeturn/loop/peer_socket.h"
+#include "snipeturn/loop/refusal_log.h"
 #include "snipeturn/loop/wire_codec.h"
 #include "snipeturn/runtime/metrics.h"
 
@@ -37,6 +41,8 @@
   Endpoint peer;
   /// Memory that the process may use, in bytes; unless stated, that of the smallest host.
   std::size_t memory{64ULL << 20U};
+  /// Descriptors that the process may use; zero means what the system allows.
+  std::size_t max_descriptors{0};
 };
 
 /// The entry daemon: passes the event loop's input to the reducer as events and executes the
@@ -124,11 +130,19 @@
   };
 
   enum class Listener : std::uint8_t { kFront, kReady, kMetrics };
+  static constexpr std::size_t kListeners = 3;
+
+  /// A refusal of the reducer, whose log line is the next effect.
+  struct Refusal {
+    std::string client;
+    int status{0};
+    std::string reason;
+  };
 
   std::optional<std::string> Listen(Acceptor& acceptor, const Endpoint& endpoint, Listener kind);
   void Accept(Acceptor& acceptor, Listener kind);
   void AddConnection(Connection::Socket socket, Listener kind);
-  [[nodiscard]] ConnectionLimits CurrentLimits() const;
+  [[nodiscard]] ConnectionLimits LimitsOf(Listener kind) const;
 
   void HandleRequest(ConnectionKey key, HttpHead&& head, std::string&& body);
   void HandleReadinessCheck(ConnectionKey key, const HttpHead& head);
@@ -142,8 +156,32 @@
   void HandleSignals(const entry::UpstreamId& upstream, TimePoint sent_at, const HttpHead& head);
   void HandleResponseBody(entry::AttemptKey key, std::string&& bytes);
   void HandleStreamEvents(entry::AttemptKey key, ActiveAttempt& attempt);
-  /// Breaks off the largest responses while all together take more memory than they may.
+  /// Closes callers that don't read, then breaks off the largest responses, while all together take
+  /// more memory than they may.
   void LimitResponseMemory();
+  /// Breaks off the largest response that is being received; returns false if all are small.
+  bool BreakOffLargestResponse();
+  /// Closes the caller with the most unread bytes; returns false if there is none.
+  /// @param min_bytes Callers with fewer unread bytes are kept.
+  /// @param min_silence Callers that have read something within this time are kept.
+  bool CloseMostUnread(std::size_t min_bytes, std::chrono::milliseconds min_silence);
+  /// Drops the largest requests that weren't begun while all together take more than they may.
+  void LimitInputMemory();
+  void CloseCaller(ConnectionKey key, std::string_view reason);
+  /// Closes the callers' connections that were idle longest until a number of connections is left
+  /// at most; returns whether that was reached.
+  bool LimitConnections(std::size_t connections);
+  bool CloseOldestIdle();
+  [[nodiscard]] std::size_t CountConnections() const;
+  /// Accepts again after a pause, as the system has no descriptor left.
+  void AcceptAfterFailure(Acceptor& acceptor, Listener kind);
+  void LogRejection(const std::string& client, int status, std::string_view reason, EmitLog line);
+  /// Refuses a request before the reducer sees it.
+  void RefuseEarly(ConnectionKey key,
+                   int status,
+                   std::string_view reason,
+                   std::string_view target,
+                   std::string_view fields);
   void HandleAttemptEnd(entry::AttemptKey key, ExchangeResult result, const std::string& reason);
   void CancelAttempt(entry::AttemptKey key);
   void RelayResponse(const entry::Relay& relay);
@@ -207,7 +245,14 @@
   std::shared_ptr<MemoryAccount> response_memory_;
   /// Bodies of requests, from their first byte to the end of the response.
   std::shared_ptr<MemoryAccount> request_memory_;
+  /// Bytes of requests that weren't begun.
+  std::shared_ptr<MemoryAccount> input_memory_;
+  DescriptorBudget descriptors_;
   std::map<ConnectionKey, std::shared_ptr<CallerConnection>> connections_;
+  /// Keys of the connections by listener, the oldest first.
+  std::array<std::set<ConnectionKey>, kListeners> keys_by_listener_;
+  RefusalLog refusal_log_;
+  std::optional<Refusal> last_refusal_;
   std::map<ConnectionKey, entry::RequestKey> request_by_connection_;
   std::map<entry::RequestKey, OpenRequest> open_requests_;
   std::map<entry::AttemptKey, ActiveAttempt> active_attempts_;
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -402,6 +402,14 @@
   idle_channels_.erase(found);
 }
 
+std::size_t HttpClient::CountConnections() const {
+  std::size_t connections = exchanges_.size();
+  for (const auto& [pool, channels] : idle_channels_) {
+    connections += channels.size();
+  }
+  return connections;
+}
+
 void HttpClient::CheckConnections() {
   const auto now = BootTime();
   for (const auto& [key, exchange] : exchanges_) {
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -96,6 +96,9 @@
   ///     second.
   void CheckConnections();
 
+  /// @return Connections that are open or being opened.
+  [[nodiscard]] std::size_t CountConnections() const;
+
   /// @return Connections opened so far.
   [[nodiscard]] std::uint64_t opened_connections() const noexcept { return opened_connections_; }
 
--- a/src/snipeturn/loop/http_head.cc
+++ b/src/snipeturn/loop/http_head.cc
@@ -76,6 +76,14 @@
       [name](const HeaderField& field) { return EqualsIgnoringCase(field.name, name); }));
 }
 
+std::size_t MemoryOf(const HttpHead& head) noexcept {
+  std::size_t bytes = sizeof(HttpHead) + head.method.size() + head.target.size();
+  for (const HeaderField& field : head.fields) {
+    bytes += sizeof(HeaderField) + field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 bool IsHopByHop(const HttpHead& head, std::string_view name) noexcept {
   for (const std::string_view known : internal::kHopByHopFields) {
     if (EqualsIgnoringCase(known, name)) {
--- a/src/snipeturn/loop/http_head.h
+++ b/src/snipeturn/loop/http_head.h
@@ -49,6 +49,9 @@
 ///     as hop-by-hop.
 [[nodiscard]] bool IsHopByHop(const HttpHead& head, std::string_view name) noexcept;
 
+/// @brief Estimates the memory that a head takes, including that of many short fields.
+[[nodiscard]] std::size_t MemoryOf(const HttpHead& head) noexcept;
+
 /// How the body of a response to the caller is framed.
 enum class BodyFraming : std::uint8_t { kLength, kChunked };
 
--- a/src/snipeturn/loop/memory_account.h
+++ b/src/snipeturn/loop/memory_account.h
@@ -17,6 +17,12 @@
     return used == 0 || used + bytes <= limit;
   }
   [[nodiscard]] constexpr bool is_exceeded() const noexcept { return used > limit; }
+  /// @return Bytes beyond the limit that small buffers may use while large ones wait.
+  [[nodiscard]] constexpr std::size_t overdraft() const noexcept {
+    return limit / kOverdraftDivisor;
+  }
+
+  static constexpr std::size_t kOverdraftDivisor = 4;
 };
 
 /// What one buffer takes of an account, until the share ends. Without an account it counts nothing.
@@ -48,10 +54,12 @@
   }
 
   /// @brief Sets the size of the buffer if all together have room for it.
+  /// @param bytes The size.
+  /// @param overdraft Bytes beyond the limit that this buffer may use.
   /// @return False if nothing was set: there is no room, and the buffer isn't alone.
-  [[nodiscard]] bool TrySet(std::size_t bytes) noexcept {
+  [[nodiscard]] bool TrySet(std::size_t bytes, std::size_t overdraft = 0) noexcept {
     if (account_ && bytes > bytes_ && account_->used > bytes_ &&
-        account_->used - bytes_ + bytes > account_->limit) {
+        account_->used - bytes_ + bytes > account_->limit + overdraft) {
       return false;
     }
     Set(bytes);
@@ -59,6 +67,10 @@
   }
 
   [[nodiscard]] std::size_t bytes() const noexcept { return bytes_; }
+  /// @return Bytes beyond the limit of the account that a small buffer may use.
+  [[nodiscard]] std::size_t overdraft() const noexcept {
+    return account_ ? account_->overdraft() : 0;
+  }
   [[nodiscard]] const MemoryAccount* account() const noexcept { return account_.get(); }
 
  private:
