--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -29,6 +29,7 @@
   std::optional<std::string> key;
   /// How long the caller waits; empty when it didn't say.
   std::optional<std::chrono::milliseconds> time_limit;
+  std::uint64_t body_bytes{0};
   std::uint64_t prompt_tokens{0};
   std::uint64_t max_output_tokens{0};
   /// The caller's estimate of the output.
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 #include <map>
 #include <string>
 
@@ -24,6 +25,10 @@
   std::string host;
   std::string zone;
   Bounds bounds;
+  /// Bytes of request bodies in flight that this host keeps for one upstream; zero means no bound.
+  std::uint64_t max_upstream_bytes{0};
+  /// Bytes of request bodies in flight to one upstream from all hosts; zero means no bound.
+  std::uint64_t max_upstream_bytes_of_all{0};
 };
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -12,6 +12,7 @@
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/request_bytes.h"
 #include "snipeturn/entry/service_times.h"
 
 namespace snipeturn::entry {
@@ -167,6 +168,7 @@
   }
   const LoadTable total = TotalLoad(state, now);
   const FailureRateTable failures = FailureRates(state, now);
+  const RequestBytesTable bytes_in_flight = RequestBytesInFlight(state);
   const double mean_failure_rate = MeanFailureRate(state, request.service, failures);
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
   const double zone_penalty = HasCells(state) ? kCrossZonePenaltyWithCells : kCrossZonePenalty;
@@ -199,7 +201,8 @@
     if (best.result == PlacementResult::kNoUpstream) {
       best.result = PlacementResult::kNoRoom;
     }
-    if (!scored.has_room || IsColdLimitReached(state, upstream, now)) {
+    if (!scored.has_room || IsColdLimitReached(state, upstream, now) ||
+        (source == nullptr && !HasRoomForBody(state, bytes_in_flight, request, id))) {
       is_any_full = true;
       continue;
     }
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -38,6 +38,10 @@
 /// Part (1/n) of it that bytes of requests that weren't begun may take together.
 constexpr std::size_t kInputMemoryDivisor = 5;
 
+/// Part (1/n) of it that the bodies of the requests at one upstream may take: half of that of all
+/// requests, so that a slow upstream leaves memory for the others.
+constexpr std::size_t kUpstreamMemoryDivisor = 5;
+
 /// Header fields of the response to a request that got no memory: others end meanwhile.
 constexpr std::string_view kMemoryRetryFields = "Retry-After: 1\r\n";
 
@@ -77,6 +81,7 @@
           MemoryAccount{options_.memory / internal::kInputMemoryDivisor, 0})),
       descriptors_{internal::DescriptorLimit(options_.max_descriptors)} {
   state_.options = options_.entry;
+  state_.options.max_upstream_bytes = options_.memory / internal::kUpstreamMemoryDivisor;
 }
 
 EntryRuntime::~EntryRuntime() = default;
@@ -123,6 +128,7 @@
     RefuseEarly(key, 400, decoded.reason, head.target, "");
     return;
   }
+  decoded.head->body_bytes = body.size();
   const entry::RequestKey request = next_request_++;
   OpenRequest open_request;
   open_request.connection = key;
--- a/test/platform/settings_test.cc
+++ b/test/platform/settings_test.cc
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "snipeturn/entry/request_bytes.h"
+
 namespace snipeturn::platform {
 namespace {
 
@@ -31,6 +33,24 @@
   return paths;
 }
 
+// Guards against bounds of the settings that are read but not used.
+TEST_CASE("settings_limitsAndContracts_used", "[platform]") {
+  const auto [settings, faults] = ParseSettings(
+      Replace(R"("zone":"z",)", R"("zone":"z","limits":{"memory_mb":32,"max_fds":1000},
+                                  "contracts":["moves","pressure"],)"));
+  REQUIRE(settings);
+  CHECK(faults.empty());
+  CHECK(settings->runtime.memory == 32U << 20U);
+  CHECK(settings->runtime.max_descriptors == 1000);
+  CHECK(settings->runtime.entry.max_upstream_bytes_of_all == entry::kMaxUpstreamBytes);
+  CHECK(ParseSettings(kSettings).settings->runtime.entry.max_upstream_bytes_of_all == 0);
+  const auto [odd, odd_faults] = ParseSettings(
+      Replace(R"("zone":"z",)", R"("zone":"z","contracts":"pressure","limits":{"max_fds":-1},)"));
+  REQUIRE(odd);
+  CHECK(odd->runtime.max_descriptors == 0);
+  CHECK(Paths(odd_faults, Effect::kDefaultUsed) == std::vector<std::string>{"node.contracts"});
+}
+
 TEST_CASE("settings_valid_decoded", "[platform]") {
   const auto [settings, faults] = ParseSettings(kSettings);
   REQUIRE(settings);
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -20,9 +20,11 @@
 class RuntimeFixture : public LoopFixture {
  public:
   /// @param memory Memory of the process, in bytes.
-  explicit RuntimeFixture(std::size_t memory = RuntimeOptions{}.memory)
+  /// @param max_descriptors Descriptors of the process.
+  explicit RuntimeFixture(std::size_t memory = RuntimeOptions{}.memory,
+                          std::size_t max_descriptors = 0)
       : log("host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC)),
-        runtime(context, MakeOptions(memory), platform::EntryWireCodec(), log),
+        runtime(context, MakeOptions(memory, max_descriptors), platform::EntryWireCodec(), log),
         caller(context) {
     REQUIRE_FALSE(runtime.Start());
     entry::DesiredState desired;
@@ -76,16 +78,18 @@
     return upstream;
   }
 
-  RuntimeOptions MakeOptions(std::size_t memory) {
+  RuntimeOptions MakeOptions(std::size_t memory, std::size_t max_descriptors) {
     front = FreePort();
     RuntimeOptions options;
     options.memory = memory;
+    options.max_descriptors = max_descriptors;
     options.entry.host = "host-1";
     options.entry.zone = "zone-a";
     options.entry.bounds.grace = 1500ms;
     options.entry.bounds.fail_closed = false;
     options.front = {"127.0.0.1", front};
-    options.ready = {"127.0.0.1", FreePort()};
+    ready = FreePort();
+    options.ready = {"127.0.0.1", ready};
     peer = {"127.0.0.1", FreePort()};
     options.peer = peer;
     metrics = FreePort();
@@ -124,6 +128,7 @@
   }
 
   std::uint16_t front{0};
+  std::uint16_t ready{0};
   Endpoint peer;
   std::uint16_t metrics{0};
   std::uint64_t last_offset{0};
