--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -168,7 +168,7 @@
   }
   const LoadTable total = TotalLoad(state, now);
   const FailureRateTable failures = FailureRates(state, now);
-  const RequestBytesTable bytes_in_flight = RequestBytesInFlight(state);
+  const RequestBytesTable bytes_in_flight = RequestBytesInFlight(state, request);
   const double mean_failure_rate = MeanFailureRate(state, request.service, failures);
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
   const double zone_penalty = HasCells(state) ? kCrossZonePenaltyWithCells : kCrossZonePenalty;
--- a/src/snipeturn/entry/request_bytes.cc
+++ b/src/snipeturn/entry/request_bytes.cc
@@ -4,18 +4,38 @@
 #include <limits>
 
 namespace snipeturn::entry {
+namespace internal {
+namespace {
 
-RequestBytesTable RequestBytesInFlight(const State& state) {
-  RequestBytesTable table;
+/// Returns the bytes that this host may have in flight to one upstream.
+std::uint64_t LimitOfHost(const State& state) {
   const Options& options = state.options;
-  if (options.max_upstream_bytes == 0 && options.max_upstream_bytes_of_all == 0) {
+  std::uint64_t limit = std::numeric_limits<std::uint64_t>::max();
+  if (options.max_upstream_bytes > 0) {
+    limit = options.max_upstream_bytes;
+  }
+  if (options.max_upstream_bytes_of_all > 0) {
+    limit = std::min(limit, options.max_upstream_bytes_of_all /
+                                static_cast<std::uint64_t>(std::max(1, state.hosts)));
+  }
+  return limit;
+}
+
+}  // namespace
+}  // namespace internal
+
+RequestBytesTable RequestBytesInFlight(const State& state, const Request& next) {
+  std::uint64_t total = next.head.body_bytes;
+  for (const auto& [key, request] : state.requests) {
+    total += request.head.body_bytes * request.attempts.size();
+  }
+  RequestBytesTable table;
+  if (total <= internal::LimitOfHost(state)) {
     return table;
   }
   for (const auto& [key, request] : state.requests) {
-    if (request.head.body_bytes > 0) {
-      for (const Attempt& attempt : request.attempts) {
-        table[attempt.upstream] += request.head.body_bytes;
-      }
+    for (const Attempt& attempt : request.attempts) {
+      table[attempt.upstream] += request.head.body_bytes;
     }
   }
   return table;
@@ -26,19 +46,8 @@
                     const Request& request,
                     const UpstreamId& upstream) {
   const auto found = in_flight.find(upstream);
-  if (found == in_flight.end() || request.head.body_bytes == 0) {
-    return true;
-  }
-  const Options& options = state.options;
-  std::uint64_t limit = std::numeric_limits<std::uint64_t>::max();
-  if (options.max_upstream_bytes > 0) {
-    limit = options.max_upstream_bytes;
-  }
-  if (options.max_upstream_bytes_of_all > 0) {
-    limit = std::min(limit, options.max_upstream_bytes_of_all /
-                                static_cast<std::uint64_t>(std::max(1, state.hosts)));
-  }
-  return found->second + request.head.body_bytes <= limit;
+  return found == in_flight.end() || found->second == 0 || request.head.body_bytes == 0 ||
+         found->second + request.head.body_bytes <= internal::LimitOfHost(state);
 }
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/request_bytes.h
+++ b/src/snipeturn/entry/request_bytes.h
@@ -14,8 +14,10 @@
 using RequestBytesTable = std::map<UpstreamId, std::uint64_t>;
 
 /// @brief Sums up the bodies of the requests that this host has sent and that haven't ended.
-/// @return The bytes by upstream; empty when the options state no bound.
-[[nodiscard]] RequestBytesTable RequestBytesInFlight(const State& state);
+/// @param state The entry state.
+/// @param next A request that is to be sent.
+/// @return The bytes by upstream; empty when all of them and the next are within the bound anyway.
+[[nodiscard]] RequestBytesTable RequestBytesInFlight(const State& state, const Request& next);
 
 /// @brief Tells whether a request's body may be sent to an upstream beside those in flight.
 ///
--- a/test/snipeturn/entry/request_bytes_test.cc
+++ b/test/snipeturn/entry/request_bytes_test.cc
@@ -16,7 +16,7 @@
   }
 
   bool HasRoom(const UpstreamId& upstream) const {
-    return HasRoomForBody(state, RequestBytesInFlight(state), next, upstream);
+    return HasRoomForBody(state, RequestBytesInFlight(state, next), next, upstream);
   }
 
   State state;
