--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -61,6 +61,7 @@
 inline constexpr LogEvent kPartsReleased{853, "parts_released", LogLevel::kInfo};
 inline constexpr LogEvent kQuarantineTrial{854, "quarantine_trial", LogLevel::kInfo};
 
+inline constexpr LogEvent kCallerClosed{809, "caller_closed", LogLevel::kWarning};
 inline constexpr LogEvent kLimitStated{861, "upstream_limit_stated", LogLevel::kWarning};
 inline constexpr LogEvent kLimitEnded{862, "upstream_limit_ended", LogLevel::kInfo};
 inline constexpr LogEvent kPauseStated{864, "upstream_pause_stated", LogLevel::kWarning};
@@ -86,6 +87,8 @@
 inline constexpr CounterName kRolloutPhases{"snipeturn_rollout_phases_total", "phase"};
 inline constexpr CounterName kRolloutSends{"snipeturn_rollout_sends_total", "version"};
 inline constexpr CounterName kRolloutWrites{"snipeturn_rollout_status_writes_total", "result"};
+inline constexpr CounterName kClosedCallers{"snipeturn_closed_callers_total", "reason"};
+inline constexpr CounterName kSuppressedLines{"snipeturn_suppressed_lines_total", "reason"};
 inline constexpr CounterName kEntryStreams{"snipeturn_streams_broken_total", "reason"};
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -39,6 +39,10 @@
   bool rollouts_enabled{false};
   /// Identifies this process among those that the host has run; a later one has a higher number.
   std::uint64_t incarnation{0};
+  /// Bytes of request bodies in flight that this host keeps for one upstream; zero means no bound.
+  std::uint64_t max_upstream_bytes{0};
+  /// Bytes of request bodies in flight to one upstream from all hosts; zero means no bound.
+  std::uint64_t max_upstream_bytes_of_all{0};
 };
 
 }  // namespace snipeturn::entry
