--- a/src/snipeturn/entry/rollout_evidence.cc
+++ b/src/snipeturn/entry/rollout_evidence.cc
@@ -122,3 +122,28 @@
 }
 
 }  // namespace snipeturn::entry::internal
+
+namespace snipeturn::entry {
+
+std::vector<RolloutGauge> RolloutGauges(const State& state, TimePoint now) {
+  std::vector<RolloutGauge> gauges;
+  const auto add = [&](std::string_view name, const auto& value_of) {
+    for (const auto& [service, versions] : state.rollouts) {
+      if (versions.active) {
+        gauges.push_back({name, service, static_cast<double>(value_of(*versions.active))});
+      }
+    }
+  };
+  add("snipeturn_rollout_phase", [](const Rollout& rollout) { return rollout.phase; });
+  add("snipeturn_rollout_age_seconds", [now](const Rollout& rollout) {
+    return std::chrono::duration<double>(now - rollout.ordered_at).count();
+  });
+  add("snipeturn_rollout_target_share", [](const Rollout& rollout) {
+    const auto sends = static_cast<double>(std::max<std::uint64_t>(1, rollout.exposure.sends));
+    return static_cast<double>(rollout.exposure.target_sends) / sends;
+  });
+  add("snipeturn_rollout_score", [](const Rollout& rollout) { return rollout.judgement.score; });
+  return gauges;
+}
+
+}  // namespace snipeturn::entry
--- a/src/snipeturn/entry/rollout_updates.cc
+++ b/src/snipeturn/entry/rollout_updates.cc
@@ -238,7 +238,10 @@
   }
   Rollout rollout = MakeRollout(scope, event.service, event.target, event.duration, event.position);
   rollout.ordered_at -= event.age;
-  rollout.is_fresh = state.store.confirmed.has_value();
+  // A host that starts, or that couldn't read for long, may find an order that has ended already.
+  rollout.is_fresh =
+      state.store.confirmed && scope.now - std::max(*state.store.confirmed, state.store.read_at) <
+                                   state.options.bounds.config_apply;
   rollout.is_status_known = rollout.is_fresh;
   Log(scope, log_events::kRolloutOrdered,
       fmt::format("service={} target={} offset={} era={} duration_ms={} source=store fresh={}",
--- a/src/snipeturn/entry/rollouts.h
+++ b/src/snipeturn/entry/rollouts.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "snipeturn/entry/event.h"
@@ -42,6 +43,16 @@
 /// @brief Roll-outs with the sum of the evidence of this host's cell.
 [[nodiscard]] std::vector<ReportedRollout> CellRollouts(const State& state, TimePoint now);
 
+/// A number about a service's roll-out.
+struct RolloutGauge {
+  std::string_view name;
+  std::string service;
+  double value{0};
+};
+
+/// @brief Numbers about the roll-outs in force for the metrics, those of one name adjacent.
+[[nodiscard]] std::vector<RolloutGauge> RolloutGauges(const State& state, TimePoint now);
+
 namespace internal {
 
 /// @brief Notes the version of an upstream that the list has.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -14,6 +14,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/upstream_signals.h"
 #include "snipeturn/loop/boot_clock.h"
 
@@ -260,6 +261,9 @@
       {"snipeturn_cells_heard", "", "",
        static_cast<double>(entry::CountLiveCells(state_, BootTime()))}};
   gauges.insert(gauges.end(), own.begin(), own.end());
+  for (entry::RolloutGauge& gauge : entry::RolloutGauges(state_, BootTime())) {
+    gauges.push_back({std::string(gauge.name), "service", std::move(gauge.service), gauge.value});
+  }
   FindConnection(key)->SendResponse(
       FormatResponse(200, "text/plain; version=0.0.4", metrics_.Render(gauges), "", false), false);
 }
--- a/src/snipeturn/reducer/reducer.cc
+++ b/src/snipeturn/reducer/reducer.cc
@@ -269,6 +269,7 @@
       case TimerKind::kEntryCrashSync:
       case TimerKind::kEntryCopyHold:
       case TimerKind::kEntryDeferredRead:
+      case TimerKind::kEntryRollout:
         assert(false && "timer belongs to the reducer of the entry path");
         break;
     }
--- a/src/snipeturn/rollout/verdict.cc
+++ b/src/snipeturn/rollout/verdict.cc
@@ -9,7 +9,7 @@
 namespace {
 
 /// Failure rates above the usual one that are looked for; each is as likely as the others.
-constexpr std::array kExcessRates{0.05, 0.10, 0.30};
+constexpr std::array kExcessRates{0.05, 0.10, 0.30, 0.60, 0.95};
 /// Least usual failure rate that is assumed. Keeps a few failures from weighing too much.
 constexpr double kMinUsualRate = 0.005;
 /// Responses of the minimum rate that an estimate of the usual rate starts with.
--- a/src/snipeturn/rollout/verdict.h
+++ b/src/snipeturn/rollout/verdict.h
@@ -57,8 +57,9 @@
 };
 
 /// Logarithm of the likelihood ratio from which a version is bad. A sound version reaches it by
-/// chance in at most 1 of 1,000 comparisons, however often they are made.
-inline constexpr double kBadScore = 6.9;
+/// chance in at most 1 of 240 comparisons, however often they are made; 6.9 (1 in 1,000) took about
+/// 5 bad responses more beside failing upstreams.
+inline constexpr double kBadScore = 5.5;
 /// From this score on, a verdict that is due is put off.
 inline constexpr double kSuspectedScore = 2.3;
 
