--- a/src/snipeturn/rollout/verdict.h
+++ b/src/snipeturn/rollout/verdict.h
@@ -57,8 +57,8 @@
 };
 
 /// Logarithm of the likelihood ratio from which a version is bad. A sound version reaches it by
-/// chance in at most 1 of 240 comparisons, however often they are made; 6.9 (1 in 1,000) took about
-/// 5 bad responses more beside failing upstreams.
+/// chance in at most 1 of 240 comparisons, however often they are made; 6.9 (1 in 1,000) took 8 to
+/// 21 bad responses more beside failing upstreams.
 inline constexpr double kBadScore = 5.5;
 /// From this score on, a verdict that is due is put off.
 inline constexpr double kSuspectedScore = 2.3;
