Callers closed for reading nothing are counted and logged

Need: a close by the idle timeout had no counter and no line, so an operator couldn't tell it from a caller that left.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -341,6 +341,9 @@
   if (unread_bytes() > 0 &&
       now - std::max(phase_started_at_, connection_->latest_progress()) > limits_.idle_timeout) {
     // Nothing else ends a caller that reads nothing.
+    if (handlers_.on_unread_timeout) {
+      handlers_.on_unread_timeout(key_);
+    }
     Disconnect();
     return;
   }
--- a/src/snipeturn/loop/caller_connection.h
+++ b/src/snipeturn/loop/caller_connection.h
@@ -50,6 +50,8 @@
     std::function<void(ConnectionKey)> on_flushed;
     /// A request was rejected before it was handed over, with a response that names the reason.
     std::function<void(ConnectionKey, int status, std::string_view reason)> on_rejected;
+    /// The caller is about to be closed, as it has read nothing for the idle timeout; optional.
+    std::function<void(ConnectionKey)> on_unread_timeout;
     /// Bytes of requests that weren't begun exceed their account; optional.
     std::function<void()> on_input_exceeded;
   };
--- a/src/snipeturn/loop/entry_callers.cc
+++ b/src/snipeturn/loop/entry_callers.cc
@@ -130,6 +130,11 @@
 }
 
 void EntryRuntime::CloseCaller(ConnectionKey key, std::string_view reason) {
+  RecordClose(key, reason);
+  FindConnection(key)->Disconnect();
+}
+
+void EntryRuntime::RecordClose(ConnectionKey key, std::string_view reason) {
   const auto connection = FindConnection(key);
   metrics_.Add(AddToCounter{entry::kClosedCallers, std::string(reason), 1});
   if (const auto suppressed =
@@ -139,7 +144,6 @@
                      connection->peer_address(), reason, connection->unread_bytes(),
                      connections_.size(), *suppressed)});
   }
-  connection->Disconnect();
 }
 
 bool EntryRuntime::CloseMostUnread(std::size_t min_bytes, std::chrono::milliseconds min_silence) {
@@ -271,6 +275,7 @@
         rejected ? rejected->peer_address() : "-", status, reason,
         {entry::log_events::kRefused, fmt::format("id=- status={} reason={}", status, reason)});
   };
+  handlers.on_unread_timeout = [this](ConnectionKey from) { RecordClose(from, "unread_timeout"); };
   handlers.on_input_exceeded = [this] { LimitInputMemory(); };
   handlers.on_closed = [this, kind](ConnectionKey from) {
     keys_by_listener_[static_cast<std::size_t>(kind)].erase(from);
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -168,6 +168,8 @@
   /// Drops the largest requests that weren't begun while all together take more than they may.
   void LimitInputMemory();
   void CloseCaller(ConnectionKey key, std::string_view reason);
+  /// Counts and logs that a caller is closed.
+  void RecordClose(ConnectionKey key, std::string_view reason);
   /// Closes the callers' connections that were idle longest until a number of connections is left
   /// at most; returns whether that was reached.
   bool LimitConnections(std::size_t connections);
--- a/test/snipeturn/loop/unread_callers_test.cc
+++ b/test/snipeturn/loop/unread_callers_test.cc
@@ -32,6 +32,7 @@
       --nested;
     };
     handlers.on_caller_disconnected = [this](ConnectionKey) { ++disconnects; };
+    handlers.on_unread_timeout = [this](ConnectionKey) { ++timeouts; };
     handlers.on_closed = [this](ConnectionKey) { ++closes; };
     connection->Start(std::move(handlers), limits, BootTime());
   }
@@ -87,6 +88,7 @@
   int nested{0};
   int depth{0};
   int disconnects{0};
+  int timeouts{0};
   int closes{0};
 };
 
@@ -132,6 +134,7 @@
   connection->WriteStream(std::string(2000000, 'x'));
   Check(3s, 0);
   CHECK(disconnects == 1);
+  CHECK(timeouts == 1);
   CHECK(closes == 1);
   CHECK(accounts.output->used == 0);
 }
