Entry: the load that upstreams state is read

Learned capacity and decisions under hard load need what upstreams say of their load, and the header wasn't read. Server-Load is decoded with its optional fourth figure (time of work, percent of the usual time); a malformed, negative or absurd part makes the statement unreadable, which is counted and logged like other unreadable signals. The reducer keeps the last statement of each upstream with the time at which it was read, and the services whose upstreams state the fourth figure. Nothing decides by them yet.

Tested: [platform] and the signal tests pass, with a new case of 14 malformed statements.

--- a/src/snipeturn/backpressure/signals.h
+++ b/src/snipeturn/backpressure/signals.h
@@ -9,7 +9,7 @@
 
 namespace snipeturn::backpressure {
 
-enum class SignalKind : std::uint8_t { kLimit, kPause, kLeaving };
+enum class SignalKind : std::uint8_t { kLimit, kPause, kLeaving, kLoad };
 
 /// @brief Name of a signal in log lines.
 [[nodiscard]] constexpr std::string_view ToString(SignalKind kind) noexcept {
@@ -20,6 +20,8 @@
       return "pause";
     case SignalKind::kLeaving:
       return "leaving";
+    case SignalKind::kLoad:
+      return "load";
   }
   return "";
 }
@@ -32,7 +34,7 @@
 };
 
 /// By SignalKind.
-using StatementCounts = std::array<StatementCount, 3>;
+using StatementCounts = std::array<StatementCount, 4>;
 
 /// @brief Returns the count of a kind of statement.
 [[nodiscard]] constexpr StatementCount& CountOf(StatementCounts& counts, SignalKind kind) noexcept {
@@ -45,6 +47,16 @@
   return counts[static_cast<std::size_t>(kind)];
 }
 
+/// Load that an upstream states, at the time of the statement.
+struct StatedLoad {
+  int running{0};
+  int waiting{0};
+  int slots{0};
+  /// How long work takes on its machine at present, relative to the usual time; empty if it doesn't
+  /// say so.
+  std::optional<double> work_time;
+};
+
 /// What an upstream says in the head of a response about the requests that it wants.
 struct Signals {
   /// Requests a second that it takes from all hosts together; empty if it states no limit.
@@ -53,6 +65,7 @@
   std::optional<std::chrono::milliseconds> pause;
   /// It is about to stop.
   bool is_leaving{false};
+  std::optional<StatedLoad> load;
   /// A signal that can't be parsed, which changes nothing; the first one if there are several.
   std::optional<SignalKind> unreadable;
 };
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -194,6 +194,8 @@
   std::map<std::string, LengthModel> lengths;
   /// By service.
   std::map<std::string, ServiceTimes> service_times;
+  /// Services of which an upstream has stated to this host how long work takes there at present.
+  std::set<std::string> services_with_work_time;
   /// Tokens charged to organisations, halved at a fixed interval.
   std::map<std::string, double> served_tokens;
   TimePoint served_decayed_at{};
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -97,6 +97,9 @@
   std::optional<TimePoint> said_leaving_at;
   /// It said so to this host.
   bool said_leaving_here{false};
+  /// Load that this incarnation last stated to this host, and when the statement was read.
+  std::optional<backpressure::StatedLoad> stated_load;
+  TimePoint stated_load_at{};
   /// Its last response stated something that can't be parsed.
   bool has_unreadable_signal{false};
   /// Starts within the last second while the upstream is cold.
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -94,6 +94,14 @@
                   ToMilliseconds(until - scope.now).count(), was_paused));
 }
 
+void AdoptStatedLoad(EventScope& scope, Upstream& upstream, const backpressure::StatedLoad& load) {
+  upstream.stated_load = load;
+  upstream.stated_load_at = scope.now;
+  if (load.work_time) {
+    scope.state.services_with_work_time.insert(upstream.entry.service);
+  }
+}
+
 }  // namespace
 
 void HandleSignals(EventScope& scope, const UpstreamSignalled& event) {
@@ -122,6 +130,10 @@
   CountOf(counts, backpressure::SignalKind::kLimit).seen += states_limit ? 1 : 0;
   CountOf(counts, backpressure::SignalKind::kPause).seen += signals.pause ? 1 : 0;
   CountOf(counts, backpressure::SignalKind::kLeaving).seen += signals.is_leaving ? 1 : 0;
+  CountOf(counts, backpressure::SignalKind::kLoad).seen += signals.load ? 1 : 0;
+  if (signals.load) {
+    AdoptStatedLoad(scope, upstream, *signals.load);
+  }
   if (states_limit || states_no_limit) {
     AdoptLimit(scope, upstream,
                backpressure::MakeStatement(signals.requests_per_second, event.sent_at, scope.now));
@@ -217,6 +229,8 @@
       return upstream.said_leaving_at && upstream.phase == UpstreamPhase::kLeaving
                  ? std::optional(Seconds(now - *upstream.said_leaving_at).count())
                  : std::nullopt;
+    case backpressure::SignalKind::kLoad:
+      return std::nullopt;  // Changes with each response.
   }
   return std::nullopt;
 }
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -214,6 +214,34 @@
   CHECK(signals_of("yes").unreadable == SignalKind::kLeaving);
 }
 
+// Guards against an absurd statement that is taken for a load, which would move requests elsewhere.
+TEST_CASE_METHOD(WireCodecFixture, "statedLoad_anySyntax_decodedOrUnreadable", "[platform]") {
+  HttpHead response;
+  response.status = 200;
+  response.fields = {{"server-load", ""}};
+  const auto signals_of = [&](const std::string& text) {
+    response.fields.back().value = text;
+    return codec.decode_response(response).signals;
+  };
+  const auto usual = signals_of("3,0,24").load;
+  REQUIRE(usual);
+  CHECK(usual->running == 3);
+  CHECK(usual->slots == 24);
+  CHECK_FALSE(usual->work_time);
+  const auto slow = signals_of("24, 7, 24, 250").load;
+  REQUIRE(slow);
+  CHECK(slow->waiting == 7);
+  CHECK(slow->work_time == 2.5);
+  CHECK_FALSE(signals_of("1,2,3,62.5").unreadable);
+  for (const char* text : {"", "3", "3,0", "3,0,24,", "-1,0,24", "3,0,24,0", "3,0,24,-250",
+                           "3,0,24,nan", "3,0,x", "3,0,24,100,5", "3,0,99999999999999999999",
+                           "2000000,0,24", "3,0,24,1e9", "3,0,24,999999"}) {
+    CAPTURE(text);
+    CHECK_FALSE(signals_of(text).load);
+    CHECK(signals_of(text).unreadable == backpressure::SignalKind::kLoad);
+  }
+}
+
 TEST_CASE_METHOD(WireCodecFixture, "copyResponse_status_mapped", "[platform]") {
   using entry::CopyStatus;
   const auto copied = codec.decode_copy_response(200, R"({"handle":"h-1","created_rev":12})");
