Capacity: estimates of the upstreams' speeds and limits

Upstreams of one service differ in speed, so load must be weighed by what responses show. No caller uses it yet.

--- /dev/null
+++ b/src/snipeturn/capacity/fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace snipeturn::capacity {
+
+struct Baseline;
+struct Estimate;
+struct Evidence;
+struct HostEvidence;
+struct Observation;
+struct Row;
+
+}  // namespace snipeturn::capacity
