Entry: placement by learned speeds

With fixed weights, slow and fast upstreams of one service got load as if they were equal. Hosts now observe first events, the pace of streams and calls, tell one another their evidence under key 'capacity' of the load table (only rows observed since about the last table, at most 256), and placement divides pending prompts and the load of plain upstreams by the estimated speed and keeps requests back above a learned limit. A share of 2% explores upstreams judged slow. In effect for a service whose upstreams state the fourth figure of Server-Load, or by the setting learned_capacity; otherwise scores and messages are as before. Gauges per upstream, log events 881 and 882.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -67,6 +67,9 @@
 inline constexpr LogEvent kPauseEnded{865, "upstream_pause_ended", LogLevel::kInfo};
 inline constexpr LogEvent kSignalUnreadable{863, "upstream_signal_unreadable", LogLevel::kWarning};
 
+inline constexpr LogEvent kCapacityLearned{881, "capacity_learned", LogLevel::kInfo};
+inline constexpr LogEvent kUpstreamSpeed{882, "upstream_speed", LogLevel::kInfo};
+
 }  // namespace log_events
 
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include "snipeturn/backpressure/pause.h"
@@ -13,6 +14,7 @@
 #include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/crash_reports.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/placement.h"
@@ -227,7 +229,9 @@
   send.is_repeat = !request.sent_to.insert(upstream.entry.id).second;
   send.resume = std::move(resume);
   send.position = request.events;
-  request.attempts.push_back({send.attempt, upstream.entry.id, scope.now, is_resume, !is_resume});
+  Attempt attempt{send.attempt, upstream.entry.id, scope.now, is_resume, !is_resume};
+  RecordLoadAtSend(scope, request, attempt);
+  request.attempts.push_back(std::move(attempt));
   request.sends += 1;
   request.runs += is_resume ? 0 : 1;
   if (request.phase == RequestPhase::kQueued) {
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -12,6 +12,7 @@
 #include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
+#include "snipeturn/capacity/summary.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/store_position.h"
@@ -275,6 +276,8 @@
   std::vector<ReportedLimit> limits;
   /// Upstreams that told the host that they are leaving.
   std::vector<ReportedLeaving> leaving;
+  /// The host's own evidence on the speeds of upstreams.
+  std::vector<capacity::Row> capacity;
   /// Time of the broadcast by the sender's clock; orders its tables.
   TimePoint broadcast_at{};
   /// Forwarded by a host of this cell, which received the table from another cell.
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -3,6 +3,7 @@
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/upstream_signals.h"
 
@@ -61,6 +62,7 @@
   table.outcomes = FailingUpstreams(state, now);
   table.limits = ReportedLimits(state, now, true);
   table.leaving = ReportedLeavings(state, now, true);
+  table.capacity = ReportedCapacity(state, now);
   return table;
 }
 
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace snipeturn::entry {
@@ -24,6 +25,9 @@
   std::string host;
   std::string zone;
   Bounds bounds;
+  /// Distribute load by learned speeds; if empty, for services whose upstreams state how long work
+  /// takes.
+  std::optional<bool> learned_capacity;
 };
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -9,6 +9,7 @@
 #include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/placement.h"
@@ -213,6 +214,7 @@
   if (is_answer && event.status < kFirstNonSuccessStatus && request.kind != RouteKind::kStream) {
     Record(scope.state.service_times[request.service].response, scope.now - attempt.sent_at,
            scope.now);
+    ObserveCall(scope, request, attempt);
   }
   if (event.result == AttemptResult::kStreamFinished) {
     CompleteStream(scope, request, event.attempt);
@@ -289,7 +291,9 @@
     RecordBegunAnswer(scope, request);
     RecordFirstEvent(scope.state.service_times[request.service], request,
                      scope.now - attempt->sent_at, scope.now);
+    ObserveFirstEvent(scope, request, *attempt);
   }
+  ObservePace(scope, request, *attempt, event.events);
   request.phase = RequestPhase::kStreaming;
   scope.state.load_decreases += attempt->is_reading_prompt ? 1 : 0;
   attempt->is_reading_prompt = false;
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -9,6 +9,7 @@
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/store_updates.h"
@@ -119,6 +120,7 @@
   }
   AdoptReportedLimits(scope, event.limits);
   AdoptReportedLeavings(scope, event.leaving);
+  AdoptReportedCapacity(scope, event);
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/service_times.h"
@@ -91,6 +92,7 @@
 UpstreamScore ScoreEngine(const EngineLimits& limits,
                           const Request& request,
                           const UpstreamLoad& load,
+                          double speed,
                           double max_memory_utilisation) {
   const double memory = static_cast<double>(limits.memory_tokens) * max_memory_utilisation;
   const double tokens = static_cast<double>(load.tokens + ExpectedMemoryTokens(request));
@@ -99,22 +101,36 @@
   scored.utilisation = std::max(memory > 0 ? tokens / memory : 0.0, (load.requests + 1) / slots);
   const double pending_prompt = static_cast<double>(load.pending_prompt_tokens);
   const double objective = static_cast<double>(request.latency_objective.count());
-  const double prefill_share =
-      objective > 0 ? pending_prompt / kPrefillTokensPerMs / objective : 0.0;
+  const double prefill_rate = kPrefillTokensPerMs * speed;
+  const double prefill_share = objective > 0 ? pending_prompt / prefill_rate / objective : 0.0;
   scored.has_room = scored.utilisation <= 1.0 && prefill_share <= kMaxPrefillShare;
   scored.score = scored.utilisation + prefill_share;
+  if (objective > 0) {
+    // Of the request's own prompt, only the difference to an upstream of speed 1 counts.
+    const auto own_prompt = static_cast<double>(request.head.prompt_tokens);
+    scored.score += own_prompt / kPrefillTokensPerMs / objective * (1 / speed - 1);
+  }
   return scored;
 }
 
-UpstreamScore ScorePlainUpstream(const Upstream& upstream, const UpstreamLoad& load) {
+UpstreamScore ScorePlainUpstream(const Upstream& upstream, const UpstreamLoad& load, double speed) {
   const double slots = std::max(1, upstream.entry.slots);
   UpstreamScore scored;
   scored.utilisation = (load.requests + 1) / slots;
-  scored.has_room = scored.utilisation <= kPlainOvercommitFactor;
-  scored.score = scored.utilisation;
+  // A slow upstream's queue takes longer; a fast one still has its slots only.
+  scored.has_room = scored.utilisation <= kPlainOvercommitFactor * std::min(1.0, speed);
+  scored.score = scored.utilisation / speed;
   return scored;
 }
 
+bool IsAboveLearnedLimit(const State& state,
+                         const Upstream& upstream,
+                         const UpstreamLoad& load,
+                         TimePoint now) {
+  const std::optional<int> limit = LearnedLimit(state, upstream, now);
+  return limit && load.requests >= *limit;
+}
+
 using FailureRateTable = std::map<UpstreamId, double>;
 
 double FailureRateOf(const FailureRateTable& failure_rates, const UpstreamId& id) {
@@ -191,11 +207,12 @@
     }
     const auto found = total.find(id);
     const UpstreamLoad load = found == total.end() ? UpstreamLoad{} : found->second;
+    const double speed = LearnedSpeed(state, upstream, now);
     UpstreamScore scored = service->engine
-                               ? ScoreEngine(*service->engine, request, load,
+                               ? ScoreEngine(*service->engine, request, load, speed,
                                              source != nullptr ? kMaxMigrationMemoryUtilisation
                                                                : kMaxMemoryUtilisation)
-                               : ScorePlainUpstream(upstream, load);
+                               : ScorePlainUpstream(upstream, load, speed);
     if (best.result == PlacementResult::kNoUpstream) {
       best.result = PlacementResult::kNoRoom;
     }
@@ -203,6 +220,11 @@
       is_any_full = true;
       continue;
     }
+    if (source == nullptr && IsAboveLearnedLimit(state, upstream, load, now)) {
+      is_any_full = true;
+      kept_back.push_back({id, backpressure::SignalKind::kLoad});
+      continue;
+    }
     const TimePoint available_from = AvailableFrom(state, upstream, now);
     if (available_from > now &&
         (source == nullptr || backpressure::IsPaused(upstream.pause, now))) {
@@ -215,7 +237,9 @@
     const double jitter = source != nullptr
                               ? kMigrationJitter
                               : std::min(kMaxJitter, kJitter + kJitterPerHost * CellHosts(state));
-    double score = scored.score + jitter * UnitRendezvousWeight(request.head.id, id);
+    const bool explores = source == nullptr && ExploresCapacity(state, request, upstream, now);
+    double score =
+        (explores ? 0 : scored.score) + jitter * UnitRendezvousWeight(request.head.id, id);
     if (upstream.entry.zone != home_zone) {
       score += source != nullptr ? kMigrationCrossZonePenalty : zone_penalty;
     }
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -34,6 +34,14 @@
   /// Number of calls to stop the generation for a migration that may have taken effect. Once one
   /// has, the engine ends the stream before its last event.
   int stop_calls{0};
+  /// Requests at the upstream when this one was sent, and prompt tokens that were still to be
+  /// processed; recorded if the service's speeds are learned.
+  int requests_at_send{0};
+  std::uint64_t pending_tokens_at_send{0};
+  /// Time and number of the event from which the pace of the stream is observed; 0 before the
+  /// first.
+  TimePoint pace_since{};
+  std::uint64_t pace_events{0};
 };
 
 enum class MigrationStep : std::uint8_t {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "snipeturn/base/timers.h"
+#include "snipeturn/capacity/summary.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/forecast.h"
@@ -137,6 +138,14 @@
   std::uint64_t sync_round{0};
 };
 
+/// What this host learns of the speeds of upstreams, besides the estimate of each.
+struct CapacityState {
+  /// By service and kind of observation.
+  std::map<std::string, capacity::Baseline> baselines;
+  capacity::HostEvidenceTable reports;
+  std::optional<TimePoint> reviewed_at;
+};
+
 /// State of the entry path.
 struct State {
   Options options;
@@ -196,6 +205,7 @@
   std::map<std::string, ServiceTimes> service_times;
   /// Services of which an upstream has stated to this host how long work takes there at present.
   std::set<std::string> services_with_work_time;
+  CapacityState capacity;
   /// Tokens charged to organisations, halved at a fixed interval.
   std::map<std::string, double> served_tokens;
   TimePoint served_decayed_at{};
--- a/src/snipeturn/entry/upstream.h
+++ b/src/snipeturn/entry/upstream.h
@@ -12,6 +12,7 @@
 #include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
+#include "snipeturn/capacity/estimate.h"
 #include "snipeturn/entry/fwd.h"
 
 namespace snipeturn::entry {
@@ -100,6 +101,11 @@
   /// Load that this incarnation last stated to this host, and when the statement was read.
   std::optional<backpressure::StatedLoad> stated_load;
   TimePoint stated_load_at{};
+  /// What is learned of the speed of this incarnation.
+  capacity::Estimate capacity;
+  /// Speed that was last logged.
+  double logged_speed{1};
+  TimePoint speed_logged_at{};
   /// Its last response stated something that can't be parsed.
   bool has_unreadable_signal{false};
   /// Starts within the last second while the upstream is cold.
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/store_updates.h"
 
 namespace snipeturn::entry {
@@ -94,14 +95,6 @@
                   ToMilliseconds(until - scope.now).count(), was_paused));
 }
 
-void AdoptStatedLoad(EventScope& scope, Upstream& upstream, const backpressure::StatedLoad& load) {
-  upstream.stated_load = load;
-  upstream.stated_load_at = scope.now;
-  if (load.work_time) {
-    scope.state.services_with_work_time.insert(upstream.entry.service);
-  }
-}
-
 }  // namespace
 
 void HandleSignals(EventScope& scope, const UpstreamSignalled& event) {
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/upstream_signals.h"
 #include "snipeturn/loop/boot_clock.h"
@@ -76,6 +77,23 @@
   return gauges;
 }
 
+/// Makes gauges of what is learned of the upstreams' speeds.
+std::vector<Gauge> MakeCapacityGauges(const entry::State& state, TimePoint now) {
+  const std::vector<entry::UpstreamCapacity> learned = entry::LearnedCapacities(state, now);
+  std::vector<Gauge> gauges;
+  const auto add = [&](const char* name, auto value_of) {
+    for (const entry::UpstreamCapacity& item : learned) {
+      gauges.push_back({name, "upstream", item.upstream, static_cast<double>(value_of(item))});
+    }
+  };
+  add("snipeturn_upstream_speed", [](const auto& item) { return item.speed; });
+  add("snipeturn_upstream_speed_evidence", [](const auto& item) { return item.evidence; });
+  add("snipeturn_upstream_statement_trust", [](const auto& item) { return item.trust; });
+  add("snipeturn_upstream_learned_limit", [](const auto& item) { return item.limit.value_or(-1); });
+  add("snipeturn_upstream_load_kept_back", [](const auto& item) { return item.kept_back; });
+  return gauges;
+}
+
 WallTime ReadWallTime() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
@@ -244,6 +262,8 @@
 
 void EntryRuntime::HandleMetricsRequest(ConnectionKey key) {
   std::vector<Gauge> gauges = internal::MakeStatementGauges(state_, BootTime());
+  const std::vector<Gauge> learned = internal::MakeCapacityGauges(state_, BootTime());
+  gauges.insert(gauges.end(), learned.begin(), learned.end());
   const std::vector<Gauge> own{
       {"snipeturn_open_requests", "", "", static_cast<double>(state_.requests.size())},
       {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "snipeturn/loop/age_codec.h"
+#include "snipeturn/loop/capacity_codec.h"
 #include "snipeturn/loop/crash_report_codec.h"
 #include "snipeturn/loop/upstream_signal_codec.h"
 
@@ -214,6 +215,7 @@
   if (!load || !limits || !leaving) {
     return std::nullopt;
   }
+  received.capacity = DecodeCapacity(root);
   received.leaving = std::move(*leaving);
   received.load = std::move(*load);
   received.limits = std::move(*limits);
@@ -362,6 +364,7 @@
   if (!load.leaving.empty()) {
     root["leaving"] = EncodeLeavings(load.leaving);
   }
+  EncodeCapacity(root, load.capacity);
   return internal::WriteCompactJson(root);
 }
 
