Capacity: overdue requests, changes and the evidence of other cells

An upstream that became four times slower was judged as before a second later by 80 and by 400 hosts: its responses come late, each host sees few of them, and older evidence of all hosts outweighed them. Open requests that take twice as long as they should now count while they wait, every host drops what was seen before a change that all hosts together show, and a cell's sum carries the evidence of its hosts. A reload of the settings takes learned_capacity.

Tested: model of 20 upstreams with 15% noise, one becomes 4 times slower: after 1 s it is estimated at 0.38 to 0.44 of its like at 1, 80 and 400 hosts (0.94 to 1.07 before at 80 and 400); its share of requests in the next 2 s is at most 0.28 of theirs. 22 cases pass.

--- a/src/snipeturn/capacity/estimate.cc
+++ b/src/snipeturn/capacity/estimate.cc
@@ -32,6 +32,12 @@
 constexpr double kMinChange = 0.3;
 constexpr double kChangeErrors = 2.5;
 constexpr double kMinRecentWeight = 2;
+/// Weight of the seconds before as an assumption for the last moment.
+constexpr double kLongPrior = 6;
+/// A request is overdue once it has taken twice as long as the estimate says. Fewer than 1 in 100
+/// calls of an upstream below its knee take so long.
+const double kOverdueLog = std::log(2.0);
+constexpr std::chrono::milliseconds kOverdueTtl{500};
 /// Distance of a sample from the mean that counts, a factor of 6.
 const double kMaxDeviation = std::log(6.0);
 const double kMaxLogSpeed = std::log(5.0);
@@ -53,7 +59,9 @@
 constexpr double kExploreShare = 0.02;
 
 void Fade(WeightedMean& mean, Seconds elapsed, Seconds fade) {
-  mean.weight *= std::exp(-std::max(0.0, elapsed / fade));
+  if (mean.weight > 0) {
+    mean.weight *= std::exp(-std::max(0.0, elapsed / fade));
+  }
 }
 
 void Add(WeightedMean& mean, const WeightedMean& other) {
@@ -65,12 +73,12 @@
 }
 
 Evidence Merged(const Estimate& estimate, TimePoint now) {
-  Evidence sum = Faded(estimate.own, now);
+  Evidence sum = ReportedEvidence(estimate, now);
   capacity::Add(sum, Faded(estimate.others, now));
   return sum;
 }
 
-/// Share, 0 to 1, to which the last moment replaces the seconds before.
+/// Share, 0 to 1, to which a change of the speed is certain.
 double ChangeShare(const Evidence& evidence, double variance) {
   if (evidence.recent_speed.weight < kMinRecentWeight || evidence.speed.weight <= 0) {
     return 0;
@@ -84,8 +92,9 @@
 
 /// Log of the speed that the evidence shows.
 double ObservedLogSpeed(const Evidence& evidence, double variance) {
-  return evidence.speed.value +
-         ChangeShare(evidence, variance) * (evidence.recent_speed.value - evidence.speed.value);
+  const double recent = evidence.recent_speed.weight;
+  const double share = std::max(ChangeShare(evidence, variance), recent / (recent + kLongPrior));
+  return evidence.speed.value + share * (evidence.recent_speed.value - evidence.speed.value);
 }
 
 /// Log of the stated time of work, as far as it counts.
@@ -153,6 +162,44 @@
   }
 }
 
+Evidence ReportedEvidence(const Estimate& estimate, TimePoint now) {
+  Evidence evidence = Faded(estimate.own, now);
+  if (estimate.overdue.weight > 0 && now - estimate.overdue_at < internal::kOverdueTtl) {
+    internal::Add(evidence.speed, estimate.overdue);
+    internal::Add(evidence.recent_speed, estimate.overdue);
+    evidence.observed_at =
+        std::max(evidence.observed_at.value_or(estimate.overdue_at), estimate.overdue_at);
+  }
+  return evidence;
+}
+
+void ClearOverdue(Estimate& estimate, TimePoint now) {
+  estimate.overdue = {};
+  estimate.overdue_at = now;
+}
+
+void ObserveOverdue(Estimate& estimate,
+                    const Baseline& baseline,
+                    const Observation& open,
+                    TimePoint now) {
+  const double stated = internal::StatedLogTime(estimate, now);
+  const double usual = internal::UsualLogSpeed(estimate, now);
+  const std::optional<double> shown = LogSpeed(baseline, open, now);
+  if (shown && *shown < usual - stated - internal::kOverdueLog) {
+    internal::Add(estimate.overdue,
+                  {1, std::max(*shown + stated, usual - internal::kMaxDeviation)});
+  }
+}
+
+bool HasChanged(const Estimate& estimate, TimePoint now) {
+  return internal::ChangeShare(internal::Merged(estimate, now), estimate.variance) >= 1;
+}
+
+void DropOutdated(Evidence& evidence, TimePoint now) {
+  evidence = Faded(evidence, now);
+  evidence.speed = evidence.recent_speed;
+}
+
 void AdoptWorkTime(Estimate& estimate, double work_time, TimePoint now) {
   estimate.stated_time = std::clamp(std::log(std::max(1e-6, work_time)), -internal::kMaxStatedLog,
                                     internal::kMaxStatedLog);
@@ -194,8 +241,8 @@
   if (const auto slowdown = LogSlowdown(baseline, observation, now)) {
     internal::LearnLoad(own, observation, *slowdown - StatementTrust(estimate) * stated);
   }
-  if (internal::ChangeShare(internal::Merged(estimate, now), estimate.variance) >= 1) {
-    own.speed = own.recent_speed;  // What was seen before the change no longer holds.
+  if (HasChanged(estimate, now)) {
+    DropOutdated(own, now);
   }
 }
 
@@ -246,7 +293,7 @@
     return 0;
   }
   std::sort(speeds.begin(), speeds.end());
-  const std::size_t skipped = (speeds.size() - 1) / 4;
+  const std::size_t skipped = speeds.size() / 4;
   double sum = 0;
   for (std::size_t index = skipped; index < speeds.size() - skipped; ++index) {
     sum += speeds[index];
--- a/src/snipeturn/capacity/estimate.h
+++ b/src/snipeturn/capacity/estimate.h
@@ -38,6 +38,9 @@
   /// The host's own observations, and those that other hosts reported.
   Evidence own;
   Evidence others;
+  /// What the host's overdue requests show at present; see ObserveOverdue().
+  WeightedMean overdue;
+  TimePoint overdue_at{};
   /// Log of the speed that counts as 1; see Centre().
   double centre{0};
   /// Variance of the service's observations.
@@ -64,6 +67,33 @@
 /// @param now Current time.
 void Observe(Estimate& estimate, Baseline& baseline, const Observation& observation, TimePoint now);
 
+/// @brief Forgets what the host's overdue requests showed, before they are looked at anew.
+void ClearOverdue(Estimate& estimate, TimePoint now);
+
+/// @brief Takes an open request into the estimate if it has waited longer than it should take.
+///
+/// Handles an upstream that becomes slow: its responses show that only when they come.
+/// @param estimate Estimate of the upstream.
+/// @param baseline Baseline of the service and kind.
+/// @param open Observation with the time for which the request has waited so far.
+/// @param now Current time.
+void ObserveOverdue(Estimate& estimate,
+                    const Baseline& baseline,
+                    const Observation& open,
+                    TimePoint now);
+
+/// @brief Own evidence of a host for other hosts, with what its overdue requests show.
+[[nodiscard]] Evidence ReportedEvidence(const Estimate& estimate, TimePoint now);
+
+/// @brief Tells whether the last moment shows a speed that clearly differs from the seconds before.
+[[nodiscard]] bool HasChanged(const Estimate& estimate, TimePoint now);
+
+/// @brief Drops the evidence of before the last moment.
+void DropOutdated(Evidence& evidence, TimePoint now);
+
+/// @brief Own evidence of a host for other hosts, with what its overdue requests show.
+[[nodiscard]] Evidence ReportedEvidence(const Estimate& estimate, TimePoint now);
+
 /// @brief Takes an upstream's statement of how long work takes there.
 /// @param estimate Estimate of the upstream.
 /// @param work_time Time relative to the usual one.
--- a/src/snipeturn/capacity/summary.cc
+++ b/src/snipeturn/capacity/summary.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <string_view>
 #include <utility>
 
 namespace snipeturn::capacity {
@@ -17,6 +18,7 @@
 constexpr int kMaxRequests = 100'000;
 /// Observations since then are new; tables are sent 3 to 6 times a second, and any may be lost.
 constexpr std::chrono::milliseconds kNewAge{500};
+constexpr std::string_view kCellPrefix = "cell/";
 /// A table that is older than the last one by more comes from a restarted host, whose clock begins
 /// anew.
 constexpr std::chrono::seconds kReorderWindow{3};
@@ -100,13 +102,16 @@
 Evidence SumOfHosts(const HostEvidenceTable& table,
                     const std::string& upstream,
                     std::int64_t start_time_ms,
-                    TimePoint now) {
+                    TimePoint now,
+                    bool with_cells) {
   Evidence sum;
   sum.at = now;
   const auto hosts = table.find(upstream);
   if (hosts != table.end()) {
     for (const auto& [host, known] : hosts->second) {
-      if (known.start_time_ms == start_time_ms) {
+      const bool is_cell =
+          host.compare(0, internal::kCellPrefix.size(), internal::kCellPrefix) == 0;
+      if (known.start_time_ms == start_time_ms && (with_cells || !is_cell)) {
         Add(sum, Faded(known.evidence, now));
       }
     }
@@ -114,6 +119,19 @@
   return sum;
 }
 
+std::string CellSender(const std::string& cell) {
+  return std::string(internal::kCellPrefix) + cell;
+}
+
+void DropOutdated(HostEvidenceTable& table, const std::string& upstream, TimePoint now) {
+  const auto hosts = table.find(upstream);
+  if (hosts != table.end()) {
+    for (auto& [host, known] : hosts->second) {
+      DropOutdated(known.evidence, now);
+    }
+  }
+}
+
 void RemoveExpired(HostEvidenceTable& table, TimePoint now) {
   for (auto hosts = table.begin(); hosts != table.end();) {
     for (auto host = hosts->second.begin(); host != hosts->second.end();) {
--- a/src/snipeturn/capacity/summary.h
+++ b/src/snipeturn/capacity/summary.h
@@ -64,10 +64,19 @@
                TimePoint now);
 
 /// @brief Sum of the evidence of other hosts on an incarnation of an upstream.
+/// @param with_cells Includes the sums of other cells.
 [[nodiscard]] Evidence SumOfHosts(const HostEvidenceTable& table,
                                   const std::string& upstream,
                                   std::int64_t start_time_ms,
-                                  TimePoint now);
+                                  TimePoint now,
+                                  bool with_cells = true);
+
+/// @brief Name under which the sum of another cell's evidence is kept; no host has it.
+[[nodiscard]] std::string CellSender(const std::string& cell);
+
+/// @brief Drops what other hosts had seen of an upstream before a change. A host that sends nothing
+///     there any more doesn't report anew.
+void DropOutdated(HostEvidenceTable& table, const std::string& upstream, TimePoint now);
 
 /// @brief Removes evidence that is too old to count.
 void RemoveExpired(HostEvidenceTable& table, TimePoint now);
--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/upstream_signals.h"
 
@@ -91,6 +92,7 @@
   }
   AdoptReportedLimits(scope, event.limits);
   AdoptReportedLeavings(scope, event.leaving);
+  AdoptReportedCapacity(scope, capacity::CellSender(event.cell), event.capacity, scope.now);
   if (!event.is_forwarded) {
     scope.effects.push_back(ForwardCellLoad{event});
   }
@@ -170,6 +172,7 @@
   internal::AddOutcomes(sum.outcomes, FailingUpstreams(state, now), now);
   sum.limits = ReportedLimits(state, now, false);
   sum.leaving = ReportedLeavings(state, now, false);
+  sum.capacity = ReportedCapacity(state, now, false);
   for (const auto& [host, peer] : state.peers) {
     if (peer.cell == state.cell && now - peer.at <= internal::kCellSumTtl) {
       sum.hosts += 1;
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -295,6 +295,8 @@
   std::vector<ReportedLimit> limits;
   /// Upstreams that told a host of the cell that they are leaving.
   std::vector<ReportedLeaving> leaving;
+  /// Evidence of the hosts of the cell on the speeds of upstreams.
+  std::vector<capacity::Row> capacity;
   /// Forwarded by a host of this cell, which received the sum from the other cell.
   bool is_forwarded{false};
 };
@@ -353,6 +355,7 @@
 
 struct OptionsChanged {
   Bounds bounds;
+  std::optional<bool> learned_capacity{};
 };
 
 struct ShutdownRequested {};
--- a/src/snipeturn/entry/learned_capacity.cc
+++ b/src/snipeturn/entry/learned_capacity.cc
@@ -58,58 +58,104 @@
   upstream.speed_logged_at = scope.now;
 }
 
-/// Sums up the evidence of all hosts, and what counts as the usual speed of each service.
-void ReviewIfDue(EventScope& scope) {
-  State& state = scope.state;
-  CapacityState& learned = state.capacity;
-  if (learned.reviewed_at && scope.now - *learned.reviewed_at < kReviewInterval) {
-    return;
+/// Key of the baseline of a kind of observation.
+std::string BaselineKey(const Request& request, capacity::Kind kind) {
+  switch (kind) {
+    case capacity::Kind::kFirstEvent:
+      return request.service + "/first";
+    case capacity::Kind::kPace:
+      return request.service + "/pace";
+    case capacity::Kind::kCall:
+      break;
   }
-  learned.reviewed_at = scope.now;
-  capacity::RemoveExpired(learned.reports, scope.now);
-  std::map<std::string, std::vector<const capacity::Estimate*>> by_service;
+  return request.service + "/call" + request.route;
+}
+
+/// Makes the observation that an attempt shows of its upstream after a time.
+capacity::Observation MakeObservation(const State& state,
+                                      const Request& request,
+                                      const Attempt& attempt,
+                                      const Upstream& upstream,
+                                      capacity::Kind kind,
+                                      std::chrono::microseconds time) {
+  capacity::Observation observation;
+  observation.kind = kind;
+  observation.upstream = Hash(upstream.entry.id);
+  observation.time = time;
+  observation.prompt_tokens = request.head.prompt_tokens;
+  observation.pending_prompt_tokens = attempt.pending_tokens_at_send;
+  observation.requests = attempt.requests_at_send + 1;
+  observation.slots = SlotsOf(state, upstream);
+  return observation;
+}
+
+/// Tells whether the time to the first event shows the speed of the upstream; a continued stream
+/// processes its earlier output too.
+bool ShowsFirstEvent(const Request& request, const Attempt& attempt) {
+  return attempt.is_reading_prompt && !attempt.is_resume && !request.is_started;
+}
+
+/// Looks at the requests that wait for their first event or response.
+void ReviewOpenRequests(EventScope& scope) {
+  State& state = scope.state;
   for (auto& [id, upstream] : state.upstreams) {
-    if (IsCapacityLearned(state, upstream.entry.service)) {
-      upstream.capacity.others =
-          capacity::SumOfHosts(learned.reports, id, upstream.entry.start_time_ms, scope.now);
-      upstream.capacity.cold_until = upstream.cold_until;
-      upstream.capacity.slots = SlotsOf(state, upstream);
-      by_service[upstream.entry.service].push_back(&upstream.capacity);
-    }
+    capacity::ClearOverdue(upstream.capacity, scope.now);
   }
-  std::map<std::string, double> centres;
-  for (const auto& [service, estimates] : by_service) {
-    centres[service] = capacity::Centre(estimates, scope.now);
-  }
-  for (auto& [id, upstream] : state.upstreams) {
-    const auto centre = centres.find(upstream.entry.service);
-    if (centre != centres.end()) {
-      upstream.capacity.centre = centre->second;
-      LogChange(scope, upstream);
+  for (const auto& [key, request] : state.requests) {
+    if (!IsCapacityLearned(state, request.service)) {
+      continue;
     }
+    const bool is_stream = request.kind == RouteKind::kStream;
+    const auto kind = is_stream ? capacity::Kind::kFirstEvent : capacity::Kind::kCall;
+    const auto baseline = state.capacity.baselines.find(BaselineKey(request, kind));
+    for (const Attempt& attempt : request.attempts) {
+      const auto upstream = state.upstreams.find(attempt.upstream);
+      if (baseline != state.capacity.baselines.end() && upstream != state.upstreams.end() &&
+          attempt.sent_at >= upstream->second.known_since &&
+          (!is_stream || ShowsFirstEvent(request, attempt))) {
+        capacity::ObserveOverdue(upstream->second.capacity, baseline->second,
+                                 MakeObservation(state, request, attempt, upstream->second, kind,
+                                                 scope.now - attempt.sent_at),
+                                 scope.now);
+      }
+    }
+  }
+}
+
+/// Sums up the evidence of all hosts on an upstream.
+void ReviewUpstream(State& state, Upstream& upstream, TimePoint now) {
+  capacity::HostEvidenceTable& reports = state.capacity.reports;
+  capacity::Estimate& estimate = upstream.capacity;
+  const UpstreamEntry& entry = upstream.entry;
+  estimate.others = capacity::SumOfHosts(reports, entry.id, entry.start_time_ms, now);
+  if (capacity::HasChanged(estimate, now)) {
+    capacity::DropOutdated(estimate.own, now);
+    capacity::DropOutdated(reports, entry.id, now);
+    estimate.others = capacity::SumOfHosts(reports, entry.id, entry.start_time_ms, now);
   }
+  estimate.cold_until = upstream.cold_until;
+  estimate.slots = SlotsOf(state, upstream);
 }
 
-/// @param kind_key Distinguishes baselines of one service.
 void ObserveUpstream(EventScope& scope,
-                     const std::string& kind_key,
+                     const Request& request,
                      const Attempt& attempt,
-                     capacity::Observation observation) {
+                     capacity::Kind kind,
+                     std::chrono::microseconds time) {
   const auto found = scope.state.upstreams.find(attempt.upstream);
   if (found == scope.state.upstreams.end() || attempt.sent_at < found->second.known_since ||
-      !IsCapacityLearned(scope.state, found->second.entry.service)) {
+      !IsCapacityLearned(scope.state, request.service)) {
     return;
   }
   Upstream& upstream = found->second;
-  observation.upstream = Hash(upstream.entry.id);
-  observation.requests = attempt.requests_at_send + 1;
-  observation.slots = SlotsOf(scope.state, upstream);
+  capacity::Observation observation =
+      MakeObservation(scope.state, request, attempt, upstream, kind, time);
   if (upstream.stated_load && scope.now - upstream.stated_load_at < kStatementAge) {
     observation.stated = upstream.stated_load;
   }
-  const std::string key = fmt::format("{}/{}", upstream.entry.service, kind_key);
-  capacity::Observe(upstream.capacity, scope.state.capacity.baselines[key], observation, scope.now);
-  ReviewIfDue(scope);
+  capacity::Observe(upstream.capacity, scope.state.capacity.baselines[BaselineKey(request, kind)],
+                    observation, scope.now);
+  ReviewCapacity(scope);
 }
 
 }  // namespace
@@ -127,15 +173,10 @@
 }
 
 void ObserveFirstEvent(EventScope& scope, const Request& request, const Attempt& attempt) {
-  if (attempt.is_resume || request.is_started) {
-    return;  // A continued stream processes its earlier output too.
+  if (ShowsFirstEvent(request, attempt)) {
+    ObserveUpstream(scope, request, attempt, capacity::Kind::kFirstEvent,
+                    scope.now - attempt.sent_at);
   }
-  capacity::Observation observation;
-  observation.kind = capacity::Kind::kFirstEvent;
-  observation.time = scope.now - attempt.sent_at;
-  observation.prompt_tokens = request.head.prompt_tokens;
-  observation.pending_prompt_tokens = attempt.pending_tokens_at_send;
-  ObserveUpstream(scope, "first", attempt, observation);
 }
 
 void ObservePace(EventScope& scope,
@@ -151,20 +192,47 @@
     if (elapsed < kPaceTime || count < kPaceEvents) {
       return;
     }
-    capacity::Observation observation;
-    observation.kind = capacity::Kind::kPace;
-    observation.time = elapsed / static_cast<std::int64_t>(count);
-    ObserveUpstream(scope, "pace", attempt, observation);
+    ObserveUpstream(scope, request, attempt, capacity::Kind::kPace,
+                    elapsed / static_cast<std::int64_t>(count));
   }
   attempt.pace_since = scope.now;
   attempt.pace_events = events;
 }
 
 void ObserveCall(EventScope& scope, const Request& request, const Attempt& attempt) {
-  capacity::Observation observation;
-  observation.kind = capacity::Kind::kCall;
-  observation.time = scope.now - attempt.sent_at;
-  ObserveUpstream(scope, request.route, attempt, observation);
+  ObserveUpstream(scope, request, attempt, capacity::Kind::kCall, scope.now - attempt.sent_at);
+}
+
+void ReviewCapacity(EventScope& scope) {
+  State& state = scope.state;
+  CapacityState& learned = state.capacity;
+  const bool is_in_effect =
+      state.options.learned_capacity.value_or(!state.services_with_work_time.empty());
+  if (!is_in_effect ||
+      (learned.reviewed_at && scope.now - *learned.reviewed_at < kReviewInterval)) {
+    return;
+  }
+  learned.reviewed_at = scope.now;
+  capacity::RemoveExpired(learned.reports, scope.now);
+  ReviewOpenRequests(scope);
+  std::map<std::string, std::vector<const capacity::Estimate*>> by_service;
+  for (auto& [id, upstream] : state.upstreams) {
+    if (IsCapacityLearned(state, upstream.entry.service)) {
+      ReviewUpstream(state, upstream, scope.now);
+      by_service[upstream.entry.service].push_back(&upstream.capacity);
+    }
+  }
+  std::map<std::string, double> centres;
+  for (const auto& [service, estimates] : by_service) {
+    centres[service] = capacity::Centre(estimates, scope.now);
+  }
+  for (auto& [id, upstream] : state.upstreams) {
+    const auto centre = centres.find(upstream.entry.service);
+    if (centre != centres.end()) {
+      upstream.capacity.centre = centre->second;
+      LogChange(scope, upstream);
+    }
+  }
 }
 
 void AdoptStatedLoad(EventScope& scope, Upstream& upstream, const backpressure::StatedLoad& load) {
@@ -185,10 +253,13 @@
   capacity::AdoptWorkTime(upstream.capacity, *load.work_time, scope.now);
 }
 
-void AdoptReportedCapacity(EventScope& scope, const PeerLoadReceived& event) {
+void AdoptReportedCapacity(EventScope& scope,
+                           const std::string& sender,
+                           const std::vector<capacity::Row>& reported,
+                           TimePoint table_at) {
   State& state = scope.state;
   std::vector<capacity::Row> rows;
-  for (const capacity::Row& row : event.capacity) {
+  for (const capacity::Row& row : reported) {
     const auto upstream = state.upstreams.find(row.upstream);
     if (upstream != state.upstreams.end() &&
         upstream->second.entry.start_time_ms == row.start_time_ms &&
@@ -197,8 +268,8 @@
     }
   }
   if (!rows.empty()) {
-    capacity::AdoptRows(state.capacity.reports, event.host, rows, event.broadcast_at, scope.now);
-    ReviewIfDue(scope);
+    capacity::AdoptRows(state.capacity.reports, sender, rows, table_at, scope.now);
+    ReviewCapacity(scope);
   }
 }
 
@@ -227,13 +298,19 @@
                               now);
 }
 
-std::vector<capacity::Row> ReportedCapacity(const State& state, TimePoint now) {
+std::vector<capacity::Row> ReportedCapacity(const State& state, TimePoint now, bool only_own) {
   std::vector<capacity::Row> rows;
   for (const auto& [id, upstream] : state.upstreams) {
-    if (IsCapacityLearned(state, upstream.entry.service) &&
-        capacity::IsNew(upstream.capacity.own, now)) {
-      rows.push_back(
-          capacity::MakeRow(id, upstream.entry.start_time_ms, upstream.capacity.own, now));
+    if (!IsCapacityLearned(state, upstream.entry.service)) {
+      continue;
+    }
+    const std::int64_t start = upstream.entry.start_time_ms;
+    capacity::Evidence evidence = capacity::ReportedEvidence(upstream.capacity, now);
+    if (!only_own) {
+      capacity::Add(evidence, capacity::SumOfHosts(state.capacity.reports, id, start, now, false));
+    }
+    if (capacity::IsNew(evidence, now)) {
+      rows.push_back(capacity::MakeRow(id, start, evidence, now));
     }
   }
   capacity::KeepNewest(rows);
--- a/src/snipeturn/entry/learned_capacity.h
+++ b/src/snipeturn/entry/learned_capacity.h
@@ -33,8 +33,13 @@
                                     const Upstream& upstream,
                                     TimePoint now);
 
-/// @brief Makes the rows of this host's own evidence for its load table.
-[[nodiscard]] std::vector<capacity::Row> ReportedCapacity(const State& state, TimePoint now);
+/// @brief Makes the rows of new evidence for a message to other hosts.
+/// @param state The entry state.
+/// @param now Current time.
+/// @param only_own Leaves out the evidence of the other hosts of this cell.
+[[nodiscard]] std::vector<capacity::Row> ReportedCapacity(const State& state,
+                                                          TimePoint now,
+                                                          bool only_own);
 
 /// What is learned of an upstream, for the metrics.
 struct UpstreamCapacity {
@@ -69,8 +74,18 @@
 /// @brief Takes an upstream's statement of its load.
 void AdoptStatedLoad(EventScope& scope, Upstream& upstream, const backpressure::StatedLoad& load);
 
-/// @brief Takes the evidence of another host from its load table.
-void AdoptReportedCapacity(EventScope& scope, const PeerLoadReceived& event);
+/// @brief Takes the evidence of another host, or of another cell.
+/// @param sender Name of the host, or capacity::CellSender().
+/// @param reported Rows of its table.
+/// @param table_at Time of the table; orders the tables of one sender.
+void AdoptReportedCapacity(EventScope& scope,
+                           const std::string& sender,
+                           const std::vector<capacity::Row>& reported,
+                           TimePoint table_at);
+
+/// @brief Sums up the evidence of all hosts, if that is due: looks at overdue requests, drops what
+///     no longer holds and determines the usual speed of each service.
+void ReviewCapacity(EventScope& scope);
 
 }  // namespace internal
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -62,7 +62,7 @@
   table.outcomes = FailingUpstreams(state, now);
   table.limits = ReportedLimits(state, now, true);
   table.leaving = ReportedLeavings(state, now, true);
-  table.capacity = ReportedCapacity(state, now);
+  table.capacity = ReportedCapacity(state, now, true);
   return table;
 }
 
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -120,7 +120,9 @@
   }
   AdoptReportedLimits(scope, event.limits);
   AdoptReportedLeavings(scope, event.leaving);
-  AdoptReportedCapacity(scope, event);
+  if (CountsDirectly(state, peer, scope.now)) {
+    AdoptReportedCapacity(scope, event.host, event.capacity, event.broadcast_at);
+  }
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/reducer.cc
+++ b/src/snipeturn/entry/reducer.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/event_scope.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/outcome.h"
@@ -145,8 +146,11 @@
           ConfirmList(scope, item);
         } else if constexpr (std::is_same_v<Item, OptionsChanged>) {
           state.options.bounds = item.bounds;
+          state.options.learned_capacity = item.learned_capacity;
         } else if constexpr (std::is_same_v<Item, ShutdownRequested>) {
           BeginShutdown(scope);
+        } else if constexpr (std::is_same_v<Item, Tick>) {
+          ReviewCapacity(scope);
         }
       },
       event);
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -26,7 +26,6 @@
 
 /// Most datagrams that are read before the loop serves connections and timers.
 constexpr int kMaxDatagramsPerWakeup = 8;
-
 /// Significant digits of fractions.
 constexpr int kSignificantDigits = 4;
 
@@ -153,6 +152,18 @@
   return rows;
 }
 
+/// Encodes what a load table or a cell's sum holds of the statements and speeds of upstreams.
+template <typename Table>
+void EncodeUpstreamReports(Json::Value& root, const Table& table) {
+  if (!table.limits.empty()) {
+    root["limits"] = EncodeLimits(table.limits);
+  }
+  if (!table.leaving.empty()) {
+    root["leaving"] = EncodeLeavings(table.leaving);
+  }
+  EncodeCapacity(root, table.capacity);
+}
+
 std::optional<entry::LoadTable> DecodeLoadTable(const Json::Value& rows) {
   entry::LoadTable table;
   for (const Json::Value& row : rows) {
@@ -234,6 +245,7 @@
   if (!load || !limits || !leaving || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
   }
+  sum.capacity = DecodeCapacity(root);
   sum.leaving = std::move(*leaving);
   sum.load = std::move(*load);
   sum.limits = std::move(*limits);
@@ -358,13 +370,7 @@
     root["outcomes"].append(std::move(row));
   }
   root["load"] = internal::EncodeLoadTable(load.load);
-  if (!load.limits.empty()) {
-    root["limits"] = EncodeLimits(load.limits);
-  }
-  if (!load.leaving.empty()) {
-    root["leaving"] = EncodeLeavings(load.leaving);
-  }
-  EncodeCapacity(root, load.capacity);
+  internal::EncodeUpstreamReports(root, load);
   return internal::WriteCompactJson(root);
 }
 
@@ -376,12 +382,7 @@
   root["hosts"] = sum.hosts;
   root["forwarded"] = sum.is_forwarded;
   root[internal::kSumKey] = internal::EncodeLoadTable(sum.load);
-  if (!sum.limits.empty()) {
-    root["limits"] = EncodeLimits(sum.limits);
-  }
-  if (!sum.leaving.empty()) {
-    root["leaving"] = EncodeLeavings(sum.leaving);
-  }
+  internal::EncodeUpstreamReports(root, sum);
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -161,7 +161,8 @@
       return;
     }
     follower_.SetStore(settings->store);
-    runtime_.Apply(entry::OptionsChanged{settings->runtime.entry.bounds});
+    runtime_.Apply(entry::OptionsChanged{settings->runtime.entry.bounds,
+                                         settings->runtime.entry.learned_capacity});
     runtime_.Log({entry::log_events::kReloaded,
                   fmt::format("store={}:{} defaults_used=\"{}\"", settings->store.address,
                               settings->store.port,
--- a/test/snipeturn/capacity/model.h
+++ b/test/snipeturn/capacity/model.h
@@ -57,6 +57,9 @@
     total_.assign(servers.size(), 0);
     sent.assign(servers.size(), 0);
     noise_until_.assign(servers.size(), now);
+    if (hosts > 1) {
+      sampled_share = 0.2;
+    }
     for (int number = 0; number < hosts; ++number) {
       Host host;
       host.estimates.resize(servers.size());
@@ -156,7 +159,8 @@
   /// Requests that no server had room for within its limit.
   int limited{0};
   bool uses_limits{true};
-  /// Share of the servers that a request considers.
+  /// Share of the servers that a request considers; with several hosts a sample, so that they don't
+  /// all choose the same one between two tables.
   double sampled_share{1};
 
  private:
@@ -236,12 +240,7 @@
     if (policy_ != Policy::kLearned) {
       return;
     }
-    Observation observation;
-    observation.kind = Kind::kCall;
-    observation.upstream = server + 1;
-    observation.time = answered - request.sent_at;
-    observation.requests = request.requests;
-    observation.slots = servers[server].slots;
+    Observation observation = MakeObservation(server, request, answered);
     observation.stated = Stated(server);
     Observe(host.estimates[server], host.baseline, observation, now);
   }
@@ -308,24 +307,72 @@
   void TellEvidence(std::size_t number) {
     std::vector<Row> rows;
     for (std::size_t server = 0; server < servers.size(); ++server) {
-      const Evidence& own = hosts[number].estimates[server].own;
+      ObserveOpen(number, server);
+      const Evidence own = ReportedEvidence(hosts[number].estimates[server], now);
       if (IsNew(own, now)) {
         rows.push_back(MakeRow(std::to_string(server), 1, own, now));
       }
     }
     KeepNewest(rows);
     const std::size_t first = number / kCellHosts * kCellHosts;
-    for (std::size_t other = first; other < std::min(hosts.size(), first + kCellHosts); ++other) {
+    const std::size_t last = std::min(hosts.size(), first + kCellHosts);
+    for (std::size_t other = first; other < last; ++other) {
       if (other != number) {
         AdoptRows(hosts[other].others, std::to_string(number), rows, now, now);
       }
     }
+    if (number == first && last - first < hosts.size()) {
+      TellCell(number, first, last);
+    }
+  }
+
+  /// The sum of a cell goes to the hosts of all others.
+  void TellCell(std::size_t number, std::size_t first, std::size_t last) {
+    std::vector<Row> rows;
+    for (std::size_t server = 0; server < servers.size(); ++server) {
+      Evidence sum = ReportedEvidence(hosts[number].estimates[server], now);
+      Add(sum, SumOfHosts(hosts[number].others, std::to_string(server), 1, now, false));
+      if (IsNew(sum, now)) {
+        rows.push_back(MakeRow(std::to_string(server), 1, sum, now));
+      }
+    }
+    for (std::size_t other = 0; other < hosts.size(); ++other) {
+      if (other < first || other >= last) {
+        AdoptRows(hosts[other].others, CellSender(std::to_string(first)), rows, now, now);
+      }
+    }
+  }
+
+  void ObserveOpen(std::size_t number, std::size_t server) {
+    Host& host = hosts[number];
+    ClearOverdue(host.estimates[server], now);
+    for (const Running& request : running_[server]) {
+      if (request.host == number) {
+        ObserveOverdue(host.estimates[server], host.baseline, MakeObservation(server, request, now),
+                       now);
+      }
+    }
+  }
+
+  Observation MakeObservation(std::size_t server, const Running& request, TimePoint until) {
+    Observation observation;
+    observation.kind = Kind::kCall;
+    observation.upstream = server + 1;
+    observation.time = until - request.sent_at;
+    observation.requests = request.requests;
+    observation.slots = servers[server].slots;
+    return observation;
   }
 
   void Review(Host& host) {
     std::vector<const Estimate*> all;
     for (std::size_t server = 0; server < servers.size(); ++server) {
       host.estimates[server].others = SumOfHosts(host.others, std::to_string(server), 1, now);
+      if (HasChanged(host.estimates[server], now)) {
+        DropOutdated(host.estimates[server].own, now);
+        DropOutdated(host.others, std::to_string(server), now);
+        host.estimates[server].others = SumOfHosts(host.others, std::to_string(server), 1, now);
+      }
       all.push_back(&host.estimates[server]);
     }
     const double centre = Centre(all, now);
