--- a/test/platform/settings_test.cc
+++ b/test/platform/settings_test.cc
@@ -43,6 +43,19 @@
   CHECK(settings->runtime.entry.bounds.grace == std::chrono::seconds(8));
 }
 
+// Guards against learned capacity that is in effect, or isn't, against the operator's word.
+TEST_CASE("settings_learnedCapacity_onOffOrByTheHeader", "[platform]") {
+  const auto parse = [](const std::string& field) {
+    return ParseSettings(Replace(R"("metrics_port")", field + R"("metrics_port")"));
+  };
+  CHECK_FALSE(parse("").settings->runtime.entry.learned_capacity);
+  CHECK(parse(R"("learned_capacity":true,)").settings->runtime.entry.learned_capacity == true);
+  CHECK(parse(R"("learned_capacity":false,)").settings->runtime.entry.learned_capacity == false);
+  const ParsedSettings wrong = parse(R"("learned_capacity":"yes",)");
+  CHECK_FALSE(wrong.settings->runtime.entry.learned_capacity);
+  CHECK(Paths(wrong.faults, Effect::kDefaultUsed) == std::vector<std::string>{"learned_capacity"});
+}
+
 // Guards against a daemon that doesn't start where it listens on all addresses of its host.
 TEST_CASE("settings_listenOnAllAddresses_accepted", "[platform]") {
   const auto [settings, faults] = ParseSettings(Replace("10.1.0.19:8740", "0.0.0.0:8740"));
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -267,6 +267,37 @@
   }
 }
 
+// Guards against tables that hosts of an earlier release drop, and against rows of a later one.
+TEST_CASE("capacity_roundTrip_underItsOwnKey", "[loop]") {
+  entry::PeerLoadReceived load;
+  load.host = "host-1";
+  load.load["engine-1"] = {1, 2, 3};
+  CHECK(EncodeLoad(load).find("capacity") == std::string::npos);
+  load.capacity = {{"engine-1", 1700000000123, 8, -70, 4, -90, 1, 5, 2, 60, 11}};
+  const std::string text = EncodeLoad(load);
+  CHECK(text.find(R"("load":[["engine-1",1,2,3]])") != std::string::npos);
+  const auto message = DecodePeerMessage(text);
+  REQUIRE(message);
+  const auto& rows = std::get<entry::PeerLoadReceived>(message->content).capacity;
+  REQUIRE(rows.size() == 1);
+  CHECK(rows[0].start_time_ms == 1700000000123);
+  CHECK(rows[0].speed_weight == 8);
+  CHECK(rows[0].recent_speed == -90);
+  CHECK(rows[0].busy_requests == 11);
+  std::string longer = text;
+  longer.replace(longer.find(",60,11]"), 7, ",60,11,9]");
+  const auto later = DecodePeerMessage(longer);
+  REQUIRE(later);
+  CHECK(std::get<entry::PeerLoadReceived>(later->content).capacity.empty());
+  entry::CellLoadReceived sum;
+  sum.cell = "zone-a";
+  sum.hosts = 2;
+  sum.capacity = load.capacity;
+  const auto cell = DecodePeerMessage(EncodeCellLoad("host-1", sum));
+  REQUIRE(cell);
+  CHECK(std::get<entry::CellLoadReceived>(cell->content).capacity.size() == 1);
+}
+
 TEST_CASE("confirmations_roundTrip_preserved", "[loop]") {
   const TimePoint requested_at{std::chrono::microseconds(123456789012)};
   const auto request_message =
