--- a/src/snipeturn/capacity/estimate.cc
+++ b/src/snipeturn/capacity/estimate.cc
@@ -21,12 +21,12 @@
 /// stated factor of 2.5 weighs 0.84.
 constexpr double kTrustPrior = 0.5;
 constexpr double kInitialTrust = 0.5;
-const double kMaxStatedLog = std::log(4.0);
+constexpr double kMaxStatedLog = 1.3863;  // log(4.0)
 constexpr Seconds kStatedTtl{1};
 /// Weight of the assumption of speed 1, and of that of a slow start while an upstream is cold.
 constexpr double kUsualPrior = 1;
 constexpr double kColdPrior = 4;
-const double kColdLogSpeed = std::log(0.5);
+constexpr double kColdLogSpeed = -0.6931;  // log(0.5)
 /// The last moment counts in place of the seconds before if it differs by this, in logs and in
 /// standard errors, from both together.
 constexpr double kMinChange = 0.3;
@@ -36,11 +36,11 @@
 constexpr double kLongPrior = 6;
 /// A request is overdue once it has taken twice as long as the estimate says. Fewer than 1 in 100
 /// calls of an upstream below its knee take so long.
-const double kOverdueLog = std::log(2.0);
+constexpr double kOverdueLog = 0.6931;  // log(2.0)
 constexpr std::chrono::milliseconds kOverdueTtl{500};
 /// Distance of a sample from the mean that counts, a factor of 6.
-const double kMaxDeviation = std::log(6.0);
-const double kMaxLogSpeed = std::log(5.0);
+constexpr double kMaxDeviation = 1.7918;  // log(6.0)
+constexpr double kMaxLogSpeed = 1.6094;   // log(5.0)
 /// The pace of one stream is seen several times a second, and says less than a first event.
 constexpr double kPaceWeight = 0.3;
 
--- a/src/snipeturn/capacity/estimate.h
+++ b/src/snipeturn/capacity/estimate.h
@@ -91,9 +91,6 @@
 /// @brief Drops the evidence of before the last moment.
 void DropOutdated(Evidence& evidence, TimePoint now);
 
-/// @brief Own evidence of a host for other hosts, with what its overdue requests show.
-[[nodiscard]] Evidence ReportedEvidence(const Estimate& estimate, TimePoint now);
-
 /// @brief Takes an upstream's statement of how long work takes there.
 /// @param estimate Estimate of the upstream.
 /// @param work_time Time relative to the usual one.
--- a/src/snipeturn/capacity/observation.cc
+++ b/src/snipeturn/capacity/observation.cc
@@ -27,7 +27,7 @@
 constexpr double kMomentPrior = 2;
 /// Bound of one residual, a factor of 4: one response that a lost packet delayed must not count as
 /// much as many.
-const double kMaxResidual = std::log(4.0);
+constexpr double kMaxResidual = 1.3863;  // log(4.0)
 
 double Bounded(double value) {
   return std::clamp(value, -kMaxResidual, kMaxResidual);
--- a/test/snipeturn/capacity/summary_test.cc
+++ b/test/snipeturn/capacity/summary_test.cc
@@ -29,6 +29,7 @@
   CHECK(SumOfHosts(table, "upstream-1", 1, now).speed.weight == Approx(12));
   AdoptRows(table, "host-2", {MakeSlow(8)}, now, now);
   AdoptRows(table, "host-2", {MakeSlow(40)}, now - 1s, now);
+  AdoptRows(table, "host-2", {MakeSlow(8)}, now + 200ms, now);
   CHECK(SumOfHosts(table, "upstream-1", 1, now).speed.weight == Approx(12));
   CHECK(SumOfHosts(table, "upstream-1", 1, now).speed.value == Approx(-0.7));
 }
