--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -75,6 +75,8 @@
 inline constexpr LogEvent kRolloutStatusNotWritten{875, "rollout_status_not_written",
                                                    LogLevel::kWarning};
 inline constexpr LogEvent kVersionHeld{876, "version_held", LogLevel::kInfo};
+inline constexpr LogEvent kCapacityLearned{881, "capacity_learned", LogLevel::kInfo};
+inline constexpr LogEvent kUpstreamSpeed{882, "upstream_speed", LogLevel::kInfo};
 
 }  // namespace log_events
 
--- a/src/snipeturn/entry/cells.cc
+++ b/src/snipeturn/entry/cells.cc
@@ -10,6 +10,7 @@
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/upstream_signals.h"
@@ -93,6 +94,7 @@
   AdoptReportedLimits(scope, event.limits);
   AdoptReportedLeavings(scope, event.leaving);
   AdoptReportedRollouts(scope, event.cell, event.rollouts);
+  AdoptReportedCapacity(scope, capacity::CellSender(event.cell), event.capacity, scope.now);
   if (!event.is_forwarded) {
     scope.effects.push_back(ForwardCellLoad{event});
   }
@@ -173,6 +175,7 @@
   sum.limits = ReportedLimits(state, now, false);
   sum.leaving = ReportedLeavings(state, now, false);
   sum.rollouts = CellRollouts(state, now);
+  sum.capacity = ReportedCapacity(state, now, false);
   for (const auto& [host, peer] : state.peers) {
     if (peer.cell == state.cell && now - peer.at <= internal::kCellSumTtl) {
       sum.hosts += 1;
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -12,6 +12,7 @@
 #include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
+#include "snipeturn/capacity/summary.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/store_position.h"
@@ -382,6 +383,8 @@
   std::vector<ReportedLeaving> leaving;
   /// Roll-outs that run or have just ended, with the evidence of this host alone.
   std::vector<ReportedRollout> rollouts;
+  /// The host's own evidence on the speeds of upstreams.
+  std::vector<capacity::Row> capacity;
   /// Time of the broadcast by the sender's clock; orders its tables.
   TimePoint broadcast_at{};
   /// Forwarded by a host of this cell, which received the table from another cell.
@@ -401,6 +404,8 @@
   std::vector<ReportedLeaving> leaving;
   /// Roll-outs with the sum of the evidence of the cell's hosts, including those that have gone.
   std::vector<ReportedRollout> rollouts;
+  /// Evidence of the hosts of the cell on the speeds of upstreams.
+  std::vector<capacity::Row> capacity;
   /// Forwarded by a host of this cell, which received the sum from the other cell.
   bool is_forwarded{false};
 };
@@ -459,6 +464,7 @@
 
 struct OptionsChanged {
   Bounds bounds;
+  std::optional<bool> learned_capacity{};
 };
 
 struct ShutdownRequested {};
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -3,6 +3,7 @@
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/upstream_signals.h"
@@ -63,6 +64,7 @@
   table.limits = ReportedLimits(state, now, true);
   table.leaving = ReportedLeavings(state, now, true);
   table.rollouts = ReportedRollouts(state, now);
+  table.capacity = ReportedCapacity(state, now, true);
   return table;
 }
 
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace snipeturn::entry {
@@ -43,6 +44,9 @@
   std::uint64_t max_upstream_bytes{0};
   /// Bytes of request bodies in flight to one upstream from all hosts; zero means no bound.
   std::uint64_t max_upstream_bytes_of_all{0};
+  /// Distribute load by learned speeds; if empty, for services whose upstreams state how long work
+  /// takes.
+  std::optional<bool> learned_capacity;
 };
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -9,6 +9,7 @@
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/confirmation.h"
 #include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/store_return.h"
@@ -124,6 +125,9 @@
   if (!HasCells(state) || event.cell == state.cell) {
     AdoptReportedRollouts(scope, event.host, event.rollouts);
   }
+  if (CountsDirectly(state, peer, scope.now)) {
+    AdoptReportedCapacity(scope, event.host, event.capacity, event.broadcast_at);
+  }
   for (const UpstreamId& id : event.unreachable_upstreams) {
     AvoidUnreachable(scope, id);
   }
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -36,6 +36,14 @@
   int stop_calls{0};
   /// Version of the upstream.
   std::string version{};
+  /// Requests at the upstream when this one was sent, and prompt tokens that were still to be
+  /// processed; recorded if the service's speeds are learned.
+  int requests_at_send{0};
+  std::uint64_t pending_tokens_at_send{0};
+  /// Time and number of the event from which the pace of the stream is observed; 0 before the
+  /// first.
+  TimePoint pace_since{};
+  std::uint64_t pace_events{0};
 };
 
 enum class MigrationStep : std::uint8_t {
--- a/src/snipeturn/entry/upstream_signals.cc
+++ b/src/snipeturn/entry/upstream_signals.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/store_updates.h"
 
 namespace snipeturn::entry {
@@ -122,6 +123,10 @@
   CountOf(counts, backpressure::SignalKind::kLimit).seen += states_limit ? 1 : 0;
   CountOf(counts, backpressure::SignalKind::kPause).seen += signals.pause ? 1 : 0;
   CountOf(counts, backpressure::SignalKind::kLeaving).seen += signals.is_leaving ? 1 : 0;
+  CountOf(counts, backpressure::SignalKind::kLoad).seen += signals.load ? 1 : 0;
+  if (signals.load) {
+    AdoptStatedLoad(scope, upstream, *signals.load);
+  }
   if (states_limit || states_no_limit) {
     AdoptLimit(scope, upstream,
                backpressure::MakeStatement(signals.requests_per_second, event.sent_at, scope.now));
@@ -217,6 +222,8 @@
       return upstream.said_leaving_at && upstream.phase == UpstreamPhase::kLeaving
                  ? std::optional(Seconds(now - *upstream.said_leaving_at).count())
                  : std::nullopt;
+    case backpressure::SignalKind::kLoad:
+      return std::nullopt;  // Changes with each response.
   }
   return std::nullopt;
 }
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -12,6 +12,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/cells.h"
+#include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/loop/boot_clock.h"
 
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -11,6 +11,7 @@
 #include <variant>
 
 #include "snipeturn/loop/age_codec.h"
+#include "snipeturn/loop/capacity_codec.h"
 #include "snipeturn/loop/crash_report_codec.h"
 #include "snipeturn/loop/list_update_codec.h"
 #include "snipeturn/loop/rollout_codec.h"
@@ -27,7 +28,6 @@
 
 /// Most datagrams that are read before the loop serves connections and timers.
 constexpr int kMaxDatagramsPerWakeup = 8;
-
 /// Significant digits of fractions.
 constexpr int kSignificantDigits = 4;
 
@@ -83,6 +83,18 @@
   return rows;
 }
 
+/// Encodes what a load table or a cell's sum holds of the statements and speeds of upstreams.
+template <typename Table>
+void EncodeUpstreamReports(Json::Value& root, const Table& table) {
+  if (!table.limits.empty()) {
+    root["limits"] = EncodeLimits(table.limits);
+  }
+  if (!table.leaving.empty()) {
+    root["leaving"] = EncodeLeavings(table.leaving);
+  }
+  EncodeCapacity(root, table.capacity);
+}
+
 std::optional<entry::LoadTable> DecodeLoadTable(const Json::Value& rows) {
   entry::LoadTable table;
   for (const Json::Value& row : rows) {
@@ -140,6 +152,7 @@
   }
   received.rollouts = DecodeRollouts(root[kRolloutsKey]);
   received.recent_updates = std::move(*updates);
+  received.capacity = DecodeCapacity(root);
   received.leaving = std::move(*leaving);
   received.load = std::move(*load);
   received.limits = std::move(*limits);
@@ -159,6 +172,7 @@
     return std::nullopt;
   }
   sum.rollouts = DecodeRollouts(root[kRolloutsKey]);
+  sum.capacity = DecodeCapacity(root);
   sum.leaving = std::move(*leaving);
   sum.load = std::move(*load);
   sum.limits = std::move(*limits);
@@ -299,12 +313,7 @@
     root["outcomes"].append(std::move(row));
   }
   root["load"] = internal::EncodeLoadTable(load.load);
-  if (!load.limits.empty()) {
-    root["limits"] = EncodeLimits(load.limits);
-  }
-  if (!load.leaving.empty()) {
-    root["leaving"] = EncodeLeavings(load.leaving);
-  }
+  internal::EncodeUpstreamReports(root, load);
   std::string text = internal::WriteWithRollouts(root, load.rollouts);
   // Updates grow by their versions. A receiver reads the list if updates are left out.
   const bool has_versions = HasVersions(load.recent_updates);
@@ -326,12 +335,7 @@
   root["hosts"] = sum.hosts;
   root["forwarded"] = sum.is_forwarded;
   root[internal::kSumKey] = internal::EncodeLoadTable(sum.load);
-  if (!sum.limits.empty()) {
-    root["limits"] = EncodeLimits(sum.limits);
-  }
-  if (!sum.leaving.empty()) {
-    root["leaving"] = EncodeLeavings(sum.leaving);
-  }
+  internal::EncodeUpstreamReports(root, sum);
   for (const auto& [upstream, outcome] : sum.outcomes) {
     Json::Value row(Json::arrayValue);
     row.append(upstream);
