Entry: recognise services whose routes compete for capacity

Decisions for hard load apply only where routes of different priority lead to a service and the less urgent one has at least twice the time, or where its upstreams state how long work takes. The routes are compared once for each configuration. Nothing reads the result yet.

--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "snipeturn/base/timers.h"
+#include "snipeturn/entry/contention.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/forecast.h"
@@ -141,6 +142,10 @@
 struct State {
   Options options;
   std::optional<DesiredState> desired;
+  /// Needs of the services' routes, by the configuration in force.
+  ContentionTable contention;
+  /// Services whose upstreams state how long work takes at the moment.
+  std::set<std::string> services_with_work_time;
   std::set<std::string> evacuated_zones;
   /// Position of the last record that evacuated each zone, kept when the evacuation has ended.
   std::map<std::string, StorePosition> evacuation_positions;
