Entry: spread requests for contended services over engines

Callers of an overloaded engine service were late because of engines that held up to nine seconds of prompts while others were idle. All hosts place requests by the same load tables, some tenths of a second old, and picked the engine that had just started; less urgent requests filled engines with prompts up to half of their own, longer objective.

For contended services the upstream is now the best of a few candidates that are sampled by the request's id, so few that the best one is expected to get about one request of all hosts between two tables. If the room that is left is smaller than the requests of all hosts, it is divided by turns. An engine gets a request only if the prompts pending there leave the most urgent route within its objective; prompts that were processed since the last tables no longer count. Hosts count their demand, which load tables will carry; until then a host takes its own for that of all others.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -13,6 +13,7 @@
 #include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/crash_reports.h"
+#include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/placement.h"
@@ -181,6 +182,9 @@
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
   RecordKeptBack(scope, request, placement);
   if (placement.result != PlacementResult::kPlaced) {
+    if (placement.is_turn_of_others) {
+      request.turn_at = placement.available_from;
+    }
     ScheduleDispatch(scope, placement.available_from);
     return placement;
   }
@@ -233,6 +237,9 @@
   if (request.phase == RequestPhase::kQueued) {
     request.phase = RequestPhase::kSent;
   }
+  if (!is_resume) {
+    RecordSend(state, request, scope.now);
+  }
   if (!request.first_sent_at) {
     request.first_sent_at = scope.now;
   }
@@ -311,7 +318,10 @@
                      std::tie(right.priority, right.served, right.arrived);
             });
   for (const QueuedRequest& entry : queued) {
-    static_cast<void>(TryDispatch(scope, scope.state.requests.at(entry.key)));
+    Request& request = scope.state.requests.at(entry.key);
+    if (!request.turn_at || *request.turn_at <= scope.now) {
+      static_cast<void>(TryDispatch(scope, request));
+    }
   }
 }
 
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -12,6 +12,7 @@
 #include "snipeturn/backpressure/signals.h"
 #include "snipeturn/base/host.h"
 #include "snipeturn/base/time.h"
+#include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/options.h"
 #include "snipeturn/entry/store_position.h"
@@ -267,6 +268,8 @@
   /// Age of its last read of the upstream list. Set only by a host that reads it often.
   std::optional<std::chrono::milliseconds> list_age;
   LoadTable load;
+  /// Demand of the host's callers on contended services.
+  DemandTable demand;
   /// Upstreams to which its connections failed recently.
   std::vector<UpstreamId> unreachable_upstreams;
   /// Upstreams at which its sends failed recently.
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -7,6 +7,7 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
 #include "snipeturn/entry/crash_reports.h"
+#include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/health.h"
@@ -147,6 +148,7 @@
   CountRequest(state.retry_budgets[request.service], state.options.bounds, scope.now);
   Request& stored = state.requests.emplace(event.request, std::move(request)).first->second;
   Schedule(state.timers, {TimerKind::kEntryFinalAnswer, stored.key}, stored.deadline);
+  RecordArrival(state, stored, scope.now);
   DispatchOrEnqueue(scope, stored);
 }
 
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -57,6 +57,7 @@
     table.list_age = ToMilliseconds(now - *state.list_confirmed);
   }
   table.load = LocalLoad(state);
+  table.demand = LocalDemand(state, now);
   table.unreachable_upstreams = UnreachableUpstreams(state, now);
   table.outcomes = FailingUpstreams(state, now);
   table.limits = ReportedLimits(state, now, true);
@@ -105,18 +106,25 @@
 }
 
 LoadTable TotalLoad(const State& state, TimePoint now) {
-  LoadTable table = LocalLoad(state);
+  LoadTable sum = LocalLoad(state);
+  ForEachTable(state, now,
+               [&sum](const LoadTable& table, TimePoint) { internal::AddLoad(sum, table); });
+  return sum;
+}
+
+void ForEachTable(const State& state,
+                  TimePoint now,
+                  const std::function<void(const LoadTable&, TimePoint)>& visit) {
   for (const auto& [host, peer] : state.peers) {
     if (now - peer.at <= internal::kPeerLoadTtl && CountsDirectly(state, peer, now)) {
-      internal::AddLoad(table, peer.load);
+      visit(peer.load, peer.at);
     }
   }
   for (const auto& [name, cell] : state.cells) {
     if (IsFresh(cell, now)) {
-      internal::AddLoad(table, cell.load);
+      visit(cell.load, cell.at);
     }
   }
-  return table;
 }
 
 }  // namespace snipeturn::entry
--- a/src/snipeturn/entry/load.h
+++ b/src/snipeturn/entry/load.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <vector>
 
 #include "snipeturn/entry/event.h"
@@ -15,6 +16,12 @@
 ///     at `now` are left out.
 [[nodiscard]] LoadTable TotalLoad(const State& state, TimePoint now);
 
+/// @brief Calls a function with each table of other hosts that counts in TotalLoad(), and with the
+///     time at which it was received.
+void ForEachTable(const State& state,
+                  TimePoint now,
+                  const std::function<void(const LoadTable&, TimePoint)>& visit);
+
 namespace internal {
 
 /// @brief Adds one load table to another.
--- a/src/snipeturn/entry/load_broadcast.cc
+++ b/src/snipeturn/entry/load_broadcast.cc
@@ -25,10 +25,14 @@
 /// which start about 10 ms apart on one host.
 constexpr double kMaxAllowance = 4;
 
+std::chrono::microseconds ChangeInterval(std::size_t peers) noexcept {
+  return std::max<std::chrono::microseconds>(kMinInterval,
+                                             kIntervalPerPeer * static_cast<std::int64_t>(peers));
+}
+
 /// Refills the token bucket that limits tables of changes.
 void RefillAllowance(BroadcastState& broadcast, std::size_t peers, TimePoint now) noexcept {
-  const auto interval = std::max<std::chrono::microseconds>(
-      kMinInterval, kIntervalPerPeer * static_cast<std::int64_t>(peers));
+  const std::chrono::microseconds interval = ChangeInterval(peers);
   const std::chrono::duration<double, std::micro> passed = now - broadcast.allowance_at;
   broadcast.allowance =
       std::min(kMaxAllowance,
@@ -128,6 +132,13 @@
   return is_for_all ? Audience::kAll : Audience::kOwnZone;
 }
 
+std::chrono::microseconds TableInterval(const State& state) noexcept {
+  const auto peers = static_cast<std::size_t>(std::max(0, CellHosts(state) - 1));
+  const std::chrono::microseconds interval = internal::ChangeInterval(peers);
+  return HasCells(state) ? std::max<std::chrono::microseconds>(interval, internal::kCellSumInterval)
+                         : interval;
+}
+
 bool IsInAudience(const State& state, Audience audience, const std::string& host) {
   switch (audience) {
     case Audience::kNobody:
--- a/src/snipeturn/entry/load_broadcast.h
+++ b/src/snipeturn/entry/load_broadcast.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -46,6 +47,11 @@
                                       std::size_t peers,
                                       TimePoint now);
 
+/// @brief Mean time between two tables of a host that reports changes all the time, and thus the
+/// age
+///     of what other hosts know of it.
+[[nodiscard]] std::chrono::microseconds TableInterval(const State& state) noexcept;
+
 /// @brief Tells whether a host belongs to an audience.
 [[nodiscard]] bool IsInAudience(const State& state, Audience audience, const std::string& host);
 
--- a/src/snipeturn/entry/peers.cc
+++ b/src/snipeturn/entry/peers.cc
@@ -113,6 +113,7 @@
       event.configuration_age ? std::optional<TimePoint>(scope.now - *event.configuration_age)
                               : std::nullopt;
   peer.load = event.load;
+  peer.demand = event.demand;
   peer.outcomes = event.outcomes;
   for (auto& [id, count] : peer.outcomes) {
     count.at = scope.now;
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -9,9 +9,14 @@
 #include "snipeturn/base/hash.h"
 #include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/cells.h"
+#include "snipeturn/entry/contention.h"
+#include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/load_broadcast.h"
+#include "snipeturn/entry/pending.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/sampling.h"
 #include "snipeturn/entry/service_times.h"
 
 namespace snipeturn::entry {
@@ -23,11 +28,6 @@
 constexpr double kMaxMemoryUtilisation = 0.9;
 /// A migrating generation may use the reserve, because it is lost if no target has room.
 constexpr double kMaxMigrationMemoryUtilisation = 1.0;
-/// Prompt tokens that an engine processes (prefills) per millisecond, between the steps of its
-/// running generations.
-constexpr double kPrefillTokensPerMs = 6.0;
-/// Share of the latency objective that the prefill of earlier requests may take.
-constexpr double kMaxPrefillShare = 0.5;
 /// Maximum of running and queued requests at a plain upstream, as a multiple of its slots.
 constexpr double kPlainOvercommitFactor = 2.0;
 /// An upstream in another availability zone must be less utilised by this share to be preferred.
@@ -88,20 +88,64 @@
   return found == state.desired->services.end() ? nullptr : &found->second;
 }
 
+/// What a request may use of an upstream.
+struct Allowance {
+  double memory{kMaxMemoryUtilisation};
+  /// Objective against which the time of pending prompts is weighed, and the share of it that they
+  /// may take.
+  std::chrono::milliseconds prefill_objective{0};
+  double prefill_share{kMaxPrefillShare};
+};
+
+Allowance AllowanceOf(const Contention* contention, const Request& request, TimePoint now) {
+  Allowance allowance;
+  allowance.prefill_objective = request.latency_objective;
+  if (contention != nullptr) {
+    allowance.prefill_objective = contention->urgent_objective;
+    const std::chrono::duration<double, std::milli> prefill =
+        PrefillAllowance(*contention, request, now);
+    allowance.prefill_share =
+        prefill.count() / static_cast<double>(contention->urgent_objective.count());
+  }
+  return allowance;
+}
+
+/// Number of requests like the given one for which an upstream with room has room.
+double RoomOf(const Service& service,
+              const Upstream& upstream,
+              const Request& request,
+              const UpstreamLoad& load,
+              const Allowance& allowance) {
+  if (!service.engine) {
+    return std::max(1.0, upstream.entry.slots * kPlainOvercommitFactor - load.requests);
+  }
+  const double memory = static_cast<double>(service.engine->memory_tokens) * allowance.memory;
+  const double tokens =
+      static_cast<double>(std::max<std::uint64_t>(1, ExpectedMemoryTokens(request)));
+  const double prompt = static_cast<double>(std::max<std::uint64_t>(1, request.head.prompt_tokens));
+  const double pending = static_cast<double>(load.pending_prompt_tokens);
+  const double max_pending = static_cast<double>(allowance.prefill_objective.count()) *
+                             allowance.prefill_share * kPrefillTokensPerMs;
+  const double by_memory = (memory - static_cast<double>(load.tokens)) / tokens;
+  const double by_prompts = (max_pending - pending) / prompt + 1;
+  const double by_slots = service.engine->slots - load.requests;
+  return std::max(1.0, std::floor(std::min({by_memory, by_prompts, by_slots})));
+}
+
 UpstreamScore ScoreEngine(const EngineLimits& limits,
                           const Request& request,
                           const UpstreamLoad& load,
-                          double max_memory_utilisation) {
-  const double memory = static_cast<double>(limits.memory_tokens) * max_memory_utilisation;
+                          const Allowance& allowance) {
+  const double memory = static_cast<double>(limits.memory_tokens) * allowance.memory;
   const double tokens = static_cast<double>(load.tokens + ExpectedMemoryTokens(request));
   const double slots = static_cast<double>(std::max(1, limits.slots));
   UpstreamScore scored;
   scored.utilisation = std::max(memory > 0 ? tokens / memory : 0.0, (load.requests + 1) / slots);
   const double pending_prompt = static_cast<double>(load.pending_prompt_tokens);
-  const double objective = static_cast<double>(request.latency_objective.count());
+  const double objective = static_cast<double>(allowance.prefill_objective.count());
   const double prefill_share =
       objective > 0 ? pending_prompt / kPrefillTokensPerMs / objective : 0.0;
-  scored.has_room = scored.utilisation <= 1.0 && prefill_share <= kMaxPrefillShare;
+  scored.has_room = scored.utilisation <= 1.0 && prefill_share <= allowance.prefill_share;
   scored.score = scored.utilisation + prefill_share;
   return scored;
 }
@@ -155,6 +199,33 @@
          request.deadline > state.stopping_since + state.stop_grace;
 }
 
+/// Chooses among the upstreams of a contended service that have room.
+void ChooseAmong(const State& state,
+                 const Request& request,
+                 const std::vector<Candidate>& candidates,
+                 TimePoint now,
+                 Placement& placement) {
+  const Demand others =
+      OthersDemand(state, request.service, OwnDemand(state, request.service, now), now);
+  const std::chrono::microseconds interval = TableInterval(state);
+  const double others_requests = ExpectedRequests(others, interval);
+  // A request that an upstream has failed doesn't wait again.
+  if (request.runs == 0 && !request.is_started) {
+    const Turn turn = NextTurn(candidates, request.head.id, others_requests, interval, now);
+    if (!turn.is_now) {
+      placement.is_turn_of_others = true;
+      placement.available_from = std::min(placement.available_from, turn.next);
+      return;
+    }
+  }
+  const Candidate* chosen = ChooseCandidate(candidates, request.head.id, others_requests);
+  placement.result = PlacementResult::kPlaced;
+  placement.upstream = chosen->id;
+  placement.utilisation = chosen->utilisation;
+  placement.failure_rate = chosen->failure_rate;
+  placement.available_from = now;
+}
+
 /// Common part of PlaceRequest() and PlaceMigration(); `source` is the engine to migrate from, or
 /// nullptr for a request.
 Placement ChooseUpstream(const State& state,
@@ -165,7 +236,13 @@
   if (service == nullptr) {
     return {};
   }
-  const LoadTable total = TotalLoad(state, now);
+  const Contention* contention = source == nullptr ? ContentionOf(state, request.service) : nullptr;
+  Allowance allowance = AllowanceOf(contention, request, now);
+  if (source != nullptr) {
+    allowance.memory = kMaxMigrationMemoryUtilisation;
+  }
+  std::vector<Candidate> candidates;
+  const LoadTable total = contention != nullptr ? ExpectedLoad(state, now) : TotalLoad(state, now);
   const FailureRateTable failures = FailureRates(state, now);
   const double mean_failure_rate = MeanFailureRate(state, request.service, failures);
   const std::string& home_zone = source != nullptr ? source->entry.zone : state.options.zone;
@@ -191,11 +268,8 @@
     }
     const auto found = total.find(id);
     const UpstreamLoad load = found == total.end() ? UpstreamLoad{} : found->second;
-    UpstreamScore scored = service->engine
-                               ? ScoreEngine(*service->engine, request, load,
-                                             source != nullptr ? kMaxMigrationMemoryUtilisation
-                                                               : kMaxMemoryUtilisation)
-                               : ScorePlainUpstream(upstream, load);
+    UpstreamScore scored = service->engine ? ScoreEngine(*service->engine, request, load, allowance)
+                                           : ScorePlainUpstream(upstream, load);
     if (best.result == PlacementResult::kNoUpstream) {
       best.result = PlacementResult::kNoRoom;
     }
@@ -235,12 +309,28 @@
     if (source == nullptr && !request.head.shared_prefix.empty()) {
       score -= kAffinityBonus * UnitRendezvousWeight(request.head.shared_prefix, id);
     }
+    if (contention != nullptr) {
+      const bool is_last_resort = now < upstream.avoid_until ||
+                                  upstream.phase == UpstreamPhase::kMissing ||
+                                  IsSuspectedDown(state, upstream, now) ||
+                                  !IsZoneLoadKnown(state, upstream.entry.zone, now);
+      candidates.push_back({id, score, scored.utilisation, FailureRateOf(failures, id),
+                            is_last_resort                     ? CandidateClass::kLastResort
+                            : upstream.entry.zone == home_zone ? CandidateClass::kOwnZone
+                                                               : CandidateClass::kOtherZone,
+                            RoomOf(*service, upstream, request, load, allowance)});
+      continue;
+    }
     if (score < best_score) {
       best_score = score;
       best = {PlacementResult::kPlaced,    id,  scored.utilisation,
               FailureRateOf(failures, id), now, {}};
     }
   }
+  if (!candidates.empty()) {
+    ChooseAmong(state, request, candidates, now, best);
+    is_any_full = true;
+  }
   if (best.result == PlacementResult::kNoRoom && !is_any_full) {
     best.result = PlacementResult::kDeferred;
   }
--- a/src/snipeturn/entry/placement.h
+++ b/src/snipeturn/entry/placement.h
@@ -34,6 +34,8 @@
   /// Earliest time at which an upstream that has room wants a request.
   TimePoint available_from{TimePoint::max()};
   std::vector<KeptBack> kept_back;
+  /// Upstreams have room, but other hosts' requests have their turn until `available_from`.
+  bool is_turn_of_others{false};
 };
 
 /// @brief Returns whether an upstream may be down although it is still listed.
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -101,6 +101,8 @@
   /// Upstreams that were passed over for what they stated.
   std::set<UpstreamId> kept_back_from;
   std::optional<TimePoint> first_sent_at;
+  /// Other hosts' requests have their turn for the room of a contended service until then.
+  std::optional<TimePoint> turn_at;
   std::string last_reason;
   /// Forecast of the complete output.
   std::uint64_t expected_output_tokens{0};
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -10,6 +10,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/contention.h"
+#include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/desired_state.h"
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/forecast.h"
@@ -79,6 +80,7 @@
   std::optional<TimePoint> configuration_confirmed;
   std::optional<TimePoint> list_confirmed;
   LoadTable load;
+  DemandTable demand;
   /// Upstreams at which its sends failed recently.
   OutcomeTable outcomes;
 };
@@ -146,6 +148,8 @@
   ContentionTable contention;
   /// Services whose upstreams state how long work takes at the moment.
   std::set<std::string> services_with_work_time;
+  /// Demand of this host's callers on contended services.
+  std::map<std::string, ServiceDemand> demand;
   std::set<std::string> evacuated_zones;
   /// Position of the last record that evacuated each zone, kept when the evacuation has ended.
   std::map<std::string, StorePosition> evacuation_positions;
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -220,6 +220,7 @@
   }
   state.desired = event.desired;
   state.contention = FindContention(*state.desired);
+  state.demand.clear();
   for (auto times = state.service_times.begin(); times != state.service_times.end();) {
     const bool is_configured = state.desired->services.count(times->first) > 0;
     times = is_configured ? std::next(times) : state.service_times.erase(times);
