Entry: order the queue of contended services by the latest start

A less urgent request waited behind every urgent one, even if it had to start at once to be on time and the urgent ones had time left. The queue of a contended service is now ordered by the time at which each request must start to meet its objective; requests that can't meet it any more come last, as they would make others late too. Other queues keep their order.

Tested: dispatch_test; entry tests, 193 cases pass.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -12,10 +12,12 @@
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/admission.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/contention.h"
 #include "snipeturn/entry/crash_reports.h"
 #include "snipeturn/entry/demand.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
+#include "snipeturn/entry/pending.h"
 #include "snipeturn/entry/placement.h"
 #include "snipeturn/entry/shutdown.h"
 
@@ -298,6 +300,10 @@
     return;
   }
   struct QueuedRequest {
+    /// A request of a contended service can't meet its objective any more.
+    bool is_late;
+    /// When a request of a contended service must start to meet its objective.
+    TimePoint latest_start;
     int priority;
     double served;
     TimePoint arrived;
@@ -307,16 +313,19 @@
   for (const auto& [key, request] : scope.state.requests) {
     if (request.phase == RequestPhase::kQueued) {
       const auto served = scope.state.served_tokens.find(request.organisation);
-      queued.push_back({request.priority,
+      const bool is_contended = IsContended(scope.state, request.service);
+      const TimePoint latest_start = is_contended ? LatestStart(request) : TimePoint{};
+      queued.push_back({is_contended && latest_start < scope.now, latest_start, request.priority,
                         served == scope.state.served_tokens.end() ? 0.0 : served->second,
                         request.arrived, key});
     }
   }
-  std::sort(queued.begin(), queued.end(),
-            [](const QueuedRequest& left, const QueuedRequest& right) {
-              return std::tie(left.priority, left.served, left.arrived) <
-                     std::tie(right.priority, right.served, right.arrived);
-            });
+  std::sort(
+      queued.begin(), queued.end(), [](const QueuedRequest& left, const QueuedRequest& right) {
+        return std::tie(left.is_late, left.latest_start, left.priority, left.served, left.arrived) <
+               std::tie(right.is_late, right.latest_start, right.priority, right.served,
+                        right.arrived);
+      });
   for (const QueuedRequest& entry : queued) {
     Request& request = scope.state.requests.at(entry.key);
     if (!request.turn_at || *request.turn_at <= scope.now) {
