Entry: less urgent requests leave room for urgent ones

Long streams filled the memory of engines and their prompt processing before a burst of short, urgent streams. Requests of the less urgent routes of a contended service now leave a part of both free while they have time to wait: the memory that urgent requests of all hosts need for the time of one objective beyond what they have, at most 0.3, and their part of prompt processing, at most 0.5. Without urgent requests nothing is kept free.

Load tables carry each host's demand (queued requests, sends a second, urgent tokens) under a key of its own; rows keep their four columns. A host whose demand is unknown is taken for average.

Entry and loop tests pass.

--- a/src/snipeturn/entry/pending.cc
+++ b/src/snipeturn/entry/pending.cc
@@ -55,6 +55,12 @@
   return is_relaxed ? std::min(left, own) : urgent;
 }
 
+bool HasTimeToWait(const Contention& contention, const Request& request, TimePoint now) {
+  return IsLessUrgent(contention, request) &&
+         LatestStart(request) - now >
+             internal::kRelaxedShares * internal::ShareOf(contention.urgent_objective);
+}
+
 TimePoint LatestStart(const Request& request) {
   // Bounded, so that an absurd number of tokens stays within the range of times.
   const double prompt_ms =
--- a/src/snipeturn/entry/pending.h
+++ b/src/snipeturn/entry/pending.h
@@ -25,6 +25,11 @@
                                                          const Request& request,
                                                          TimePoint now);
 
+/// @brief Tells whether a request is less urgent and has time left to wait for urgent ones.
+[[nodiscard]] bool HasTimeToWait(const Contention& contention,
+                                 const Request& request,
+                                 TimePoint now);
+
 /// @brief Time at which an engine must start a request for it to meet its objective.
 [[nodiscard]] TimePoint LatestStart(const Request& request);
 
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -16,6 +16,7 @@
 #include "snipeturn/entry/load_broadcast.h"
 #include "snipeturn/entry/pending.h"
 #include "snipeturn/entry/readers.h"
+#include "snipeturn/entry/room.h"
 #include "snipeturn/entry/sampling.h"
 #include "snipeturn/entry/service_times.h"
 
@@ -97,7 +98,19 @@
   double prefill_share{kMaxPrefillShare};
 };
 
-Allowance AllowanceOf(const Contention* contention, const Request& request, TimePoint now) {
+/// Number of engines of a service that serve.
+int CountServing(const State& state, const std::string& service) {
+  return static_cast<int>(
+      std::count_if(state.upstreams.begin(), state.upstreams.end(), [&](const auto& entry) {
+        return entry.second.entry.service == service && IsServing(state, entry.second);
+      }));
+}
+
+Allowance AllowanceOf(const State& state,
+                      const Contention* contention,
+                      const Demand& demand,
+                      const Request& request,
+                      TimePoint now) {
   Allowance allowance;
   allowance.prefill_objective = request.latency_objective;
   if (contention != nullptr) {
@@ -106,6 +119,13 @@
         PrefillAllowance(*contention, request, now);
     allowance.prefill_share =
         prefill.count() / static_cast<double>(contention->urgent_objective.count());
+    const Service& service = *FindService(state, request.service);
+    if (service.engine && HasTimeToWait(*contention, request, now)) {
+      const Reserve reserve = ReserveForUrgent(*contention, demand, *service.engine,
+                                               CountServing(state, request.service));
+      allowance.memory -= reserve.memory;
+      allowance.prefill_share *= 1 - reserve.prefill;
+    }
   }
   return allowance;
 }
@@ -203,10 +223,9 @@
 void ChooseAmong(const State& state,
                  const Request& request,
                  const std::vector<Candidate>& candidates,
+                 const Demand& others,
                  TimePoint now,
                  Placement& placement) {
-  const Demand others =
-      OthersDemand(state, request.service, OwnDemand(state, request.service, now), now);
   const std::chrono::microseconds interval = TableInterval(state);
   const double others_requests = ExpectedRequests(others, interval);
   // A request that an upstream has failed doesn't wait again.
@@ -237,7 +256,14 @@
     return {};
   }
   const Contention* contention = source == nullptr ? ContentionOf(state, request.service) : nullptr;
-  Allowance allowance = AllowanceOf(contention, request, now);
+  Demand own_demand;
+  Demand others_demand;
+  if (contention != nullptr) {
+    own_demand = OwnDemand(state, request.service, now);
+    others_demand = OthersDemand(state, request.service, own_demand, now);
+  }
+  Allowance allowance =
+      AllowanceOf(state, contention, SumOf(own_demand, others_demand), request, now);
   if (source != nullptr) {
     allowance.memory = kMaxMigrationMemoryUtilisation;
   }
@@ -328,7 +354,7 @@
     }
   }
   if (!candidates.empty()) {
-    ChooseAmong(state, request, candidates, now, best);
+    ChooseAmong(state, request, candidates, others_demand, now, best);
     is_any_full = true;
   }
   if (best.result == PlacementResult::kNoRoom && !is_any_full) {
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -12,6 +12,7 @@
 
 #include "snipeturn/loop/age_codec.h"
 #include "snipeturn/loop/crash_report_codec.h"
+#include "snipeturn/loop/demand_codec.h"
 #include "snipeturn/loop/upstream_signal_codec.h"
 
 namespace snipeturn::loop {
@@ -216,6 +217,7 @@
   }
   received.leaving = std::move(*leaving);
   received.load = std::move(*load);
+  received.demand = DecodeDemand(root);
   received.limits = std::move(*limits);
   return received;
 }
@@ -356,6 +358,7 @@
     root["outcomes"].append(std::move(row));
   }
   root["load"] = internal::EncodeLoadTable(load.load);
+  EncodeDemand(load.demand, root);
   if (!load.limits.empty()) {
     root["limits"] = EncodeLimits(load.limits);
   }
