Entry: refuse at once when capacity comes too late

A request for an overloaded service waited in the queue for its longest wait and was refused then, though it was known that capacity comes later. For contended services the wait is now forecast by the requests of all hosts ahead of it and the rate of sends. If it is longer than the request may wait, it is refused as not run, reason capacity_too_late, with a Retry-After of the forecast wait, spread over half of it.

Tested: queue_forecast_test.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -19,6 +19,7 @@
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/pending.h"
 #include "snipeturn/entry/placement.h"
+#include "snipeturn/entry/queue_forecast.h"
 #include "snipeturn/entry/shutdown.h"
 
 namespace snipeturn::entry::internal {
@@ -278,6 +279,14 @@
       return;
     }
   }
+  if (placement.result == PlacementResult::kNoRoom && !request.is_started && request.runs == 0) {
+    const auto wait = ForecastContendedWait(scope.state, request, scope.now);
+    if (wait && *wait > max_wait) {
+      RefuseRequest(scope, request, 503, "capacity_too_late",
+                    RetryAfterWait(request, *wait, scope.now));
+      return;
+    }
+  }
   Log(scope, log_events::kQueued,
       fmt::format("id={} route={} reason={} hold_ms={} prompt={} forecast={}", request.head.id,
                   request.route, request.last_reason, max_wait.count(), request.head.prompt_tokens,
