Entry: limit admission at plain upstreams of contended services

After a restart of all hosts their callers return at once and overload the plain upstreams for seconds: each got twice as many requests as it has slots. For contended services an upstream now gets as many requests as it answers within 0.7 of the objective by the longest recent response, between its slots and twice as many; only its slots while no response is known. The rest waits in the hosts' queues. Where upstreams don't state how long work takes, plain services are served as before.

--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -15,6 +15,7 @@
 #include "snipeturn/entry/load.h"
 #include "snipeturn/entry/load_broadcast.h"
 #include "snipeturn/entry/pending.h"
+#include "snipeturn/entry/plain_admission.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/room.h"
 #include "snipeturn/entry/sampling.h"
@@ -96,6 +97,8 @@
   /// may take.
   std::chrono::milliseconds prefill_objective{0};
   double prefill_share{kMaxPrefillShare};
+  /// Requests at a plain upstream, as a multiple of its slots.
+  double plain_overcommit{kPlainOvercommitFactor};
 };
 
 /// Number of engines of a service that serve.
@@ -126,6 +129,13 @@
       allowance.memory -= reserve.memory;
       allowance.prefill_share *= 1 - reserve.prefill;
     }
+    if (!service.engine) {
+      const auto times = state.service_times.find(request.service);
+      allowance.plain_overcommit = PlainOvercommit(
+          request.latency_objective,
+          times == state.service_times.end() ? std::nullopt : Largest(times->second.response, now),
+          kPlainOvercommitFactor);
+    }
   }
   return allowance;
 }
@@ -137,7 +147,7 @@
               const UpstreamLoad& load,
               const Allowance& allowance) {
   if (!service.engine) {
-    return std::max(1.0, upstream.entry.slots * kPlainOvercommitFactor - load.requests);
+    return std::max(1.0, upstream.entry.slots * allowance.plain_overcommit - load.requests);
   }
   const double memory = static_cast<double>(service.engine->memory_tokens) * allowance.memory;
   const double tokens =
@@ -170,11 +180,13 @@
   return scored;
 }
 
-UpstreamScore ScorePlainUpstream(const Upstream& upstream, const UpstreamLoad& load) {
+UpstreamScore ScorePlainUpstream(const Upstream& upstream,
+                                 const UpstreamLoad& load,
+                                 const Allowance& allowance) {
   const double slots = std::max(1, upstream.entry.slots);
   UpstreamScore scored;
   scored.utilisation = (load.requests + 1) / slots;
-  scored.has_room = scored.utilisation <= kPlainOvercommitFactor;
+  scored.has_room = scored.utilisation <= allowance.plain_overcommit;
   scored.score = scored.utilisation;
   return scored;
 }
@@ -295,7 +307,7 @@
     const auto found = total.find(id);
     const UpstreamLoad load = found == total.end() ? UpstreamLoad{} : found->second;
     UpstreamScore scored = service->engine ? ScoreEngine(*service->engine, request, load, allowance)
-                                           : ScorePlainUpstream(upstream, load);
+                                           : ScorePlainUpstream(upstream, load, allowance);
     if (best.result == PlacementResult::kNoUpstream) {
       best.result = PlacementResult::kNoRoom;
     }
