Entry: don't sample upstreams that fail more than others

For contended services a sample of two candidates may hold two upstreams that fail part of their requests. An upstream whose failure rate is a fifth above the service's mean is now used only if no other has room. The log event queued tells reason=turn_of_others when upstreams have room but other hosts' requests have their turn.

Every other configuration of the entry fuzz test has routes that compete, so that its guarantees are checked for contended services too.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -289,8 +289,8 @@
   }
   Log(scope, log_events::kQueued,
       fmt::format("id={} route={} reason={} hold_ms={} prompt={} forecast={}", request.head.id,
-                  request.route, request.last_reason, max_wait.count(), request.head.prompt_tokens,
-                  request.expected_output_tokens));
+                  request.route, placement.is_turn_of_others ? "turn_of_others" : reason,
+                  max_wait.count(), request.head.prompt_tokens, request.expected_output_tokens));
   const TimePoint wait_start = request.is_started ? scope.now : request.arrived;
   Schedule(scope.state.timers, {TimerKind::kEntryHold, request.key}, wait_start + max_wait);
 }
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -46,6 +46,9 @@
 /// Weight of the odds of a failed attempt, for the failure rate above the service's mean. A few
 /// failures cost little; an upstream that fails most requests scores worse than any load does.
 constexpr double kFailureRateWeight = 2.0;
+/// With this penalty an upstream of a contended service isn't sampled: its failure rate is a fifth
+/// above the service's mean, and a sample of two may hold two such upstreams.
+constexpr double kLastResortFailurePenalty = 0.5;
 /// Penalty for an upstream that may be down. If its entry disappeared while the store was failing,
 /// the entry may have expired or the upstream may be leaving; one that can't be reached may be gone
 /// but looks idle.
@@ -343,15 +346,16 @@
     if (upstream.phase == UpstreamPhase::kMissing || IsSuspectedDown(state, upstream, now)) {
       score += kSuspectedDownPenalty;
     }
-    score += FailurePenalty(FailureRateOf(failures, id) - mean_failure_rate);
+    const double failure_penalty = FailurePenalty(FailureRateOf(failures, id) - mean_failure_rate);
+    score += failure_penalty;
     if (source == nullptr && !request.head.shared_prefix.empty()) {
       score -= kAffinityBonus * UnitRendezvousWeight(request.head.shared_prefix, id);
     }
     if (contention != nullptr) {
-      const bool is_last_resort = now < upstream.avoid_until ||
-                                  upstream.phase == UpstreamPhase::kMissing ||
-                                  IsSuspectedDown(state, upstream, now) ||
-                                  !IsZoneLoadKnown(state, upstream.entry.zone, now);
+      const bool is_last_resort =
+          now < upstream.avoid_until || upstream.phase == UpstreamPhase::kMissing ||
+          IsSuspectedDown(state, upstream, now) || failure_penalty >= kLastResortFailurePenalty ||
+          !IsZoneLoadKnown(state, upstream.entry.zone, now);
       candidates.push_back({id, score, scored.utilisation, FailureRateOf(failures, id),
                             is_last_resort                     ? CandidateClass::kLastResort
                             : upstream.entry.zone == home_zone ? CandidateClass::kOwnZone
--- a/test/entry_fuzz/world_store.cc
+++ b/test/entry_fuzz/world_store.cc
@@ -65,6 +65,11 @@
                     MakeRoute("/short/", RouteKind::kStream, "engines")};
   desired.routes.back().is_resumable = true;
   desired.routes.back().max_upstreams = kMaxRuns;
+  // Every other version has routes that compete for the engines.
+  if (version_ % 2 == 0) {
+    desired.routes.front().priority = 2;
+    desired.routes.front().latency_objective *= 2;
+  }
   desired.has_organisations = true;
   for (const std::string& key : keys_) {
     desired.organisation_by_key[key] = {"org-" + key, std::nullopt};
