Entry: tell load of contended plain services at once

The limit on requests at plain upstreams left slots unused: only streams made a load table due at once, so other hosts counted requests up to half a second after they had ended.

Starts and ends of requests to contended plain services now make a table due, requests in older tables count less, and turns apply to engines only.

Tested: entry, loop and platform tests, 417 cases pass.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -253,7 +253,9 @@
                  std::chrono::milliseconds(static_cast<std::int64_t>(
                      static_cast<double>(request.latency_objective.count()) * kHedgeDelayShare)));
   }
-  state.load_changes += request.kind == RouteKind::kStream ? 1 : 0;
+  const bool is_reported_at_once =
+      request.kind == RouteKind::kStream || IsContended(state, request.service);
+  state.load_changes += is_reported_at_once ? 1 : 0;
   RecordRequest(state, upstream, scope.now);
   scope.effects.push_back(std::move(send));
 }
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -163,6 +163,11 @@
 void EndRequest(EventScope& scope, Request& request) {
   State& state = scope.state;
   state.load_decreases += request.kind == RouteKind::kStream ? 1 : 0;
+  // Plain upstreams answer within the time between two tables, so their load is told at once.
+  if (request.kind != RouteKind::kStream && request.sends > 0 &&
+      IsContended(state, request.service)) {
+    state.load_changes += 1;
+  }
   RecordRequestTimes(state.service_times[request.service], request, false, scope.now);
   CancelAttempts(scope, request);
   ReleaseCopy(scope, request);
--- a/src/snipeturn/entry/pending.cc
+++ b/src/snipeturn/entry/pending.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <string>
 
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/load.h"
@@ -39,6 +41,34 @@
   }
 }
 
+/// Longest recent response time of the service of a plain upstream.
+std::optional<std::chrono::microseconds> PlainResponseTime(const State& state,
+                                                           const UpstreamId& id,
+                                                           TimePoint now) {
+  const auto upstream = state.upstreams.find(id);
+  if (upstream == state.upstreams.end()) {
+    return std::nullopt;
+  }
+  const std::string& service = upstream->second.entry.service;
+  const auto times = state.service_times.find(service);
+  return times == state.service_times.end() ? std::nullopt : Largest(times->second.response, now);
+}
+
+/// Adds to `ended` the requests of a table that plain upstreams have answered since.
+void AddAnswered(std::map<UpstreamId, double>& ended,
+                 const State& state,
+                 const LoadTable& table,
+                 TimePoint at,
+                 TimePoint now) {
+  for (const auto& [id, load] : table) {
+    const auto response = PlainResponseTime(state, id, now);
+    if (response && response->count() > 0) {
+      const auto age = static_cast<double>((now - at).count());
+      ended[id] += load.requests * std::min(1.0, age / static_cast<double>(response->count()));
+    }
+  }
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -73,13 +103,18 @@
 LoadTable ExpectedLoad(const State& state, TimePoint now) {
   LoadTable total = TotalLoad(state, now);
   std::map<UpstreamId, double> done;
+  std::map<UpstreamId, double> ended;
   ForEachTable(state, now, [&](const LoadTable& table, TimePoint at) {
     internal::AddProcessed(done, table, total, internal::Milliseconds(now - at));
+    internal::AddAnswered(ended, state, table, at, now);
   });
   for (const auto& [id, tokens] : done) {
     std::uint64_t& pending = total.at(id).pending_prompt_tokens;
     pending -= std::min(pending, static_cast<std::uint64_t>(tokens));
   }
+  for (const auto& [id, requests] : ended) {
+    total.at(id).requests -= static_cast<int>(requests);
+  }
   return total;
 }
 
--- a/src/snipeturn/entry/pending.h
+++ b/src/snipeturn/entry/pending.h
@@ -34,7 +34,8 @@
 [[nodiscard]] TimePoint LatestStart(const Request& request);
 
 /// @brief Load of all hosts by upstream, from which prompts are left out that the engines are
-///     expected to have processed since the tables were sent.
+///     expected to have processed since the tables were sent, and requests that plain upstreams are
+///     expected to have answered since, by the longest recent response.
 ///
 /// A host tells that a prompt was processed with its next table, up to 1.4 s later. At 200 requests
 /// a second, prompts that are done would count as thousands of pending tokens for each engine.
--- a/src/snipeturn/entry/placement.cc
+++ b/src/snipeturn/entry/placement.cc
@@ -243,8 +243,11 @@
                  Placement& placement) {
   const std::chrono::microseconds interval = TableInterval(state);
   const double others_requests = ExpectedRequests(others, interval);
-  // A request that an upstream has failed doesn't wait again.
-  if (request.runs == 0 && !request.is_started) {
+  // A request that an upstream has failed doesn't wait again. Requests to plain upstreams are short
+  // and wait there if hosts send too many; turns would leave slots unused that have just been
+  // freed.
+  const bool has_engines = FindService(state, request.service)->engine.has_value();
+  if (has_engines && request.runs == 0 && !request.is_started) {
     const Turn turn = NextTurn(candidates, request.head.id, others_requests, interval, now);
     if (!turn.is_now) {
       placement.is_turn_of_others = true;
