--- a/test/snipeturn/rollout/verdict_test.cc
+++ b/test/snipeturn/rollout/verdict_test.cc
@@ -144,6 +144,16 @@
   }
 }
 
+// Guards against bad versions beside failing upstreams that are found late; see KNOWN-RED.txt.
+TEST_CASE_METHOD(VerdictFixture,
+                 "verdict_badVersions_nineteenOfTwentyWithinFiftyBadResponses",
+                 "[rollout_detection]") {
+  for (const Scenario& scenario : Bad()) {
+    INFO(scenario.name);
+    CHECK(Run(scenario, 100).within_50 >= 0.95);
+  }
+}
+
 // Guards against a few requests that decide.
 TEST_CASE("verdict_fewResponses_undecidedOrGood", "[rollout]") {
   MergedEvidence evidence;
