--- a/review/stage2/engines.py
+++ b/review/stage2/engines.py
@@ -32,13 +32,16 @@
 
 
 class Engine(Upstream):
-    """Works on a request until its end, or until a call stops it; a closed channel doesn't stop it.
+    """Works on a request until its end, or until a call stops it.
 
-    Most servers drop a request whose channel closes. This is one of the others.
+    Most servers drop a request whose channel closes; one that doesn't (`drops`) is one of the others.
     """
 
-    def __init__(self, stage, name, service="cordial-llm"):
-        super().__init__(stage, name, service, SLOTS)
+    copy_s = COPY_S
+
+    def __init__(self, stage, name, drops=False):
+        super().__init__(stage, name, "cordial-llm", SLOTS)
+        self.drops = drops
         self.runs, self.copies, self.next_handle = {}, {}, 0
         # How it fails requests while it is grey, and the share that it fails.
         self.grey, self.share = None, 0.0
@@ -99,7 +102,7 @@
         if call["last"]:
             run.is_stopped = True
             run.end()
-        await asyncio.sleep(COPY_S)
+        await asyncio.sleep(self.copy_s)
         run.is_moving = False
         body = {"handle": run.handle}
         if target is None:
@@ -153,6 +156,8 @@
                 run.changed.clear()
                 await run.changed.wait()
         except ConnectionError:
+            if self.drops:
+                run.end()
             return False
         if run.is_stopped:
             return False
--- a/review/stage2/moves.py
+++ b/review/stage2/moves.py
@@ -25,13 +25,13 @@
              "engine": {"slots": 24, "kv_cache_tokens": 34234, "moves": True, "stride": 4}}]
 
 
-async def stream(stage, outcomes):
+async def stream(stage, outcomes, length):
     request = stage.new_id()
     writer, events = None, 0
     try:
         reader, writer = await asyncio.open_connection(ADDRESS, stage.daemons[0].front)
         writer.write(request_bytes("POST", "/lohu930/2f", request, [
-            ("Model", "m"), ("Token-Counts", f"400,{EVENTS * 4}"),
+            ("Model", "m"), ("Token-Counts", f"400,{length * 4}"),
             ("Prompt-Prefix", f"5c1e07a2:100,{request}:300")], b"prompt"))
         status, _ = stages.parse_head(await reader.readuntil(b"\r\n\r\n"))
         if status != 200:
@@ -40,7 +40,7 @@
             return
         async for chunk in read_chunks(reader):
             events += chunk.count(b"id: ")
-        outcomes.append("complete" if events == EVENTS else f"ended after {events}")
+        outcomes.append("complete" if events == length else f"ended after {events}")
         stage.record(f"caller of {request} got all of {events} events")
     except (OSError, asyncio.IncompleteReadError) as error:
         outcomes.append("cut")
@@ -50,14 +50,14 @@
             writer.close()
 
 
-async def callers(stage, outcomes, end):
+async def callers(stage, outcomes, end, streams=STREAMS, length=EVENTS):
     """Keeps a number of streams open."""
     async def caller():
         while time.monotonic() < end:
-            await stream(stage, outcomes)
+            await stream(stage, outcomes, length)
             await asyncio.sleep(0.2)
     tasks = []
-    for _ in range(STREAMS):
+    for _ in range(streams):
         tasks.append(asyncio.create_task(caller()))
         await asyncio.sleep(0.03)
     await asyncio.gather(*tasks)
