Entry: calls without an id use connections that carried no other such call

Cause: the responses to the host's own calls name no request. CallUpstream took the first response without an id for its own, on any kept connection, while a faulty server sends a response again where the next one is expected. The next call on the connection got the handle, the number of events and the status of the call before.

Telling copies by time: they come when a sound reply may come too.

Change: each call says what ties its response to it (loop/response_match.h). A copy call uses a connection that carried no other call without an id; what can come late there are responses to requests, which carry ids. It works because a response can only come again on its own connection.

Every place that takes a response for its own, and what ties them: - requests to upstreams: the Request-Id. The same request sent to an upstream again: a new connection (the id is the same). Without an id: only as the first on a connection, which from now on isn't used again; elsewhere the request ends as unknown. - requests on a connection that carried a call: they skip an id-less response without a receipt for each such call. Before, a repeated reply ended the request with 502. - copy and stop calls: a connection without an earlier id-less call (changed). - release of a copy: the response isn't used. Reports: only "leaving" is taken, with the start of the server; it holds whichever report says so. - limits, pauses, load and notices in responses: as the response; in those to a release or a report only on a connection without an earlier call (changed), as they could be older. Interim responses: the connection. - events of streams: the response, then ids in order. - calls to the store: their order on the connection; nothing in its responses names a call. Not changed. - confirmations between hosts: time of the request, echoed; other datagrams state facts with numbers. - snipeturnd: a connection per exchange (transport/http_client), JSON-RPC likewise.

Two existing checks were changed: stopCall_keptConnectionDropped_sentOnNewOne became stopCall_connectionReset_sentOnNewOne, since the stop call no longer shares the first copy's connection; it still resets the stop call and requires a new connection. The soak's engines dropped a stop call on a connection that had carried a call; they now drop the first stop call of such a generation on any connection.

--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -77,7 +77,9 @@
   call.endpoint = send.endpoint;
   call.bytes = codec_.encode_request(open_request.head, open_request.body, encoded);
   call.connect_timeout = internal::kConnectTimeout;
+  // Another send of the same request has the same id, so its response could be taken for this one.
   call.needs_new_connection = send.is_repeat;
+  call.match = ResponseMatch::kRequestId;
   call.max_idle =
       send.is_idempotent ? internal::kMaxIdleIdempotent : internal::kMaxIdleNonIdempotent;
   ExchangeHandlers handlers;
@@ -124,8 +126,15 @@
     metrics_.Add(AddToCounter{kDroppedReplies, "other_request", 1});
     return false;
   }
+  if (metadata.request_id.empty() && IsLateCallResponse(attempt, metadata)) {
+    metrics_.Add(AddToCounter{kDroppedReplies, "late_call_reply", 1});
+    ++attempt.skipped_without_id;
+    return false;
+  }
   attempt.head = head;
-  if (metadata.request_id.empty() && !client_.IsFirstOnConnection(attempt.exchange)) {
+  if (metadata.request_id.empty() && client_.IsFirstOnConnection(attempt.exchange)) {
+    client_.PreventReuse(attempt.exchange);
+  } else if (metadata.request_id.empty()) {
     metrics_.Add(AddToCounter{kDroppedReplies, "no_request_id", 1});
     client_.Cancel(attempt.exchange);
     HandleAttemptEnd(key, ExchangeResult::kBroken,
@@ -144,6 +153,13 @@
   return true;
 }
 
+bool EntryRuntime::IsLateCallResponse(const ActiveAttempt& attempt,
+                                      const ResponseMetadata& metadata) const {
+  // Servers put a receipt into responses to requests only.
+  return !metadata.has_receipt &&
+         attempt.skipped_without_id < client_.CountEarlierCallsWithoutId(attempt.exchange);
+}
+
 void EntryRuntime::HandleResponseBody(entry::AttemptKey key, std::string&& bytes) {
   const auto found = active_attempts_.find(key);
   if (found == active_attempts_.end()) {
@@ -429,7 +445,7 @@
   }
   CallUpstream(copy.source_id, copy.source,
                codec_.encode_copy_request(copy, request->second.head.id), internal::kCopyTimeout,
-               copy.needs_new_connection,
+               ResponseMatch::kConnection, copy.needs_new_connection,
                [this, key = copy.request, copy_number = copy.copy](
                    ExchangeResult result, int status, const std::string& body) {
                  entry::CopyEnded ended;
@@ -445,9 +461,11 @@
 }
 
 void EntryRuntime::ReadReport(const entry::ReadReport& call) {
+  // An upstream that says that it leaves does so until its end, and a report names its start: an
+  // earlier report says nothing that doesn't hold.
   CallUpstream(
       call.upstream, call.endpoint, codec_.encode_report_request(call), internal::kReportTimeout,
-      false,
+      ResponseMatch::kNone, false,
       [this, id = call.upstream](ExchangeResult result, int status, const std::string& body) {
         // Failures are ignored here: whether an upstream works is judged by its requests.
         if (result != ExchangeResult::kComplete) {
@@ -468,9 +486,11 @@
                                 const Endpoint& endpoint,
                                 std::string bytes,
                                 std::chrono::milliseconds timeout,
+                                ResponseMatch match,
                                 bool needs_new_connection,
                                 std::function<void(ExchangeResult, int, const std::string&)> done) {
   struct Response {
+    HttpClient::ExchangeKey exchange{0};
     int status{0};
     std::string body;
   };
@@ -482,6 +502,7 @@
   call.connect_timeout = internal::kConnectTimeout;
   call.timeout = timeout;
   call.needs_new_connection = needs_new_connection;
+  call.match = match;
   call.max_body_bytes = internal::kMaxCallResponseBytes;
   ExchangeHandlers handlers;
   const TimePoint sent_at = BootTime();
@@ -492,7 +513,9 @@
       return false;
     }
     response->status = head.status;
-    HandleSignals(upstream, sent_at, head);
+    if (client_.CountEarlierCallsWithoutId(response->exchange) == 0) {
+      HandleSignals(upstream, sent_at, head);
+    }  // Else the response may be older than what the upstream has said since.
     return true;
   };
   handlers.on_interim = [this, upstream, sent_at](const HttpHead& head) {
@@ -503,13 +526,13 @@
                                                        const std::string& /*reason*/) {
     done(result, response->status, response->body);
   };
-  static_cast<void>(client_.Start(std::move(call), std::move(handlers)));
+  response->exchange = client_.Start(std::move(call), std::move(handlers));
 }
 
 void EntryRuntime::DropCopy(const entry::DropCopy& drop) {
   // The result is ignored: the engine frees an unused copy itself after some seconds.
   CallUpstream(drop.source_id, drop.source, codec_.encode_drop_copy_request(drop),
-               internal::kDropTimeout, false,
+               internal::kDropTimeout, ResponseMatch::kNone, false,
                [](ExchangeResult /*result*/, int /*status*/, const std::string& /*body*/) {});
 }
 
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -123,6 +123,8 @@
     TimePoint sent_at{};
     HttpClient::ExchangeKey exchange{0};
     bool is_stream{false};
+    /// Responses without an id that were skipped.
+    int skipped_without_id{0};
     HttpHead head;
     ResponseMetadata metadata;
     std::string body;
@@ -160,6 +162,10 @@
   void ExecuteEffect(entry::Effect& effect);
   void StartAttempt(const entry::Send& send);
   bool HandleResponseHead(entry::AttemptKey key, const HttpHead& head);
+  /// Tells whether a response without an id may be that of an earlier call, come again, so that the
+  /// response to the attempt is still to come.
+  [[nodiscard]] bool IsLateCallResponse(const ActiveAttempt& attempt,
+                                        const ResponseMetadata& metadata) const;
   /// Handles what an upstream says about itself in a response that isn't the final one of a
   /// request.
   void HandleSignals(const entry::UpstreamId& upstream, TimePoint sent_at, const HttpHead& head);
@@ -205,10 +211,12 @@
   void ReadReport(const entry::ReadReport& call);
   void ForgetUpstream(const entry::UpstreamId& upstream);
   /// Makes a call of this host's own to an upstream, not on behalf of a caller's request.
+  /// @param match What ties the response to the call; it carries no id.
   void CallUpstream(const entry::UpstreamId& upstream,
                     const Endpoint& endpoint,
                     std::string bytes,
                     std::chrono::milliseconds timeout,
+                    ResponseMatch match,
                     bool needs_new_connection,
                     std::function<void(ExchangeResult, int, const std::string&)> done);
   /// Stops listening, then refuses what arrives until all responses are sent or the deadline
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -67,10 +67,9 @@
   /// Responses that the current exchange has skipped, and their body bytes.
   int skipped_responses{0};
   std::uint64_t skipped_bytes{0};
-  /// A response to another request arrived, so the connection is closed after this exchange.
+  /// Further responses may arrive late, so the connection is closed after this exchange.
   bool must_not_reuse{false};
-  /// Exchanges that have begun on this connection.
-  int exchanges{0};
+  ConnectionHistory history;
   TimePoint idle_since{};
   std::chrono::milliseconds max_idle_time{internal::kDefaultIdleTime};
 };
@@ -132,17 +131,21 @@
   }
   const auto now = BootTime();
   std::vector<ChannelPointer>& channels = found->second;
-  while (!channels.empty()) {
-    ChannelPointer channel = channels.back();
+  // The connections that were used last come first.
+  for (std::size_t place = channels.size(); place-- > 0;) {
+    ChannelPointer channel = channels[place];
     const auto idle = now - channel->idle_since;
-    if (channel->connection->is_open() && idle < channel->max_idle_time) {
-      if (idle > call.max_idle) {
-        return nullptr;  // The others have been idle for longer.
-      }
-      channels.pop_back();
+    const bool is_expired = !channel->connection->is_open() || idle >= channel->max_idle_time;
+    if (!is_expired && idle > call.max_idle) {
+      return nullptr;  // The others have been idle for longer.
+    }
+    if (!is_expired && !MayCarry(channel->history, call.match)) {
+      continue;
+    }
+    channels.erase(channels.begin() + static_cast<std::ptrdiff_t>(place));
+    if (!is_expired) {
       return channel;
     }
-    channels.pop_back();
     channel->connection->Close();
   }
   return nullptr;
@@ -207,7 +210,7 @@
 void HttpClient::SendRequest(const ExchangePointer& exchange, const ChannelPointer& channel) {
   exchange->channel = channel;
   channel->exchange = exchange;
-  ++channel->exchanges;
+  RecordCall(channel->history, exchange->call.match);
   channel->parser.emplace(HttpParser::Kind::kResponse, internal::kMaxHeaderBytes,
                           exchange->call.max_body_bytes);
   channel->skips_response = false;
@@ -381,7 +384,23 @@
 bool HttpClient::IsFirstOnConnection(ExchangeKey key) const {
   const auto found = exchanges_.find(key);
   return found != exchanges_.end() && found->second->channel &&
-         found->second->channel->exchanges == 1;
+         found->second->channel->history.calls == 1;
+}
+
+int HttpClient::CountEarlierCallsWithoutId(ExchangeKey key) const {
+  const auto found = exchanges_.find(key);
+  if (found == exchanges_.end() || !found->second->channel) {
+    return 0;
+  }
+  const Exchange& exchange = *found->second;
+  return exchange.channel->history.calls_without_id - (IsWithoutId(exchange.call.match) ? 1 : 0);
+}
+
+void HttpClient::PreventReuse(ExchangeKey key) {
+  const auto found = exchanges_.find(key);
+  if (found != exchanges_.end() && found->second->channel) {
+    found->second->channel->must_not_reuse = true;
+  }
 }
 
 void HttpClient::SetReading(ExchangeKey key, bool is_reading) {
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -14,6 +14,7 @@
 #include "snipeturn/base/host.h"
 #include "snipeturn/loop/connection.h"
 #include "snipeturn/loop/http_parser.h"
+#include "snipeturn/loop/response_match.h"
 
 namespace snipeturn::loop {
 
@@ -47,6 +48,8 @@
   std::chrono::milliseconds max_idle{60000};
   /// The call must not use a connection that is already open.
   bool needs_new_connection{false};
+  /// What identifies the response; selects the connections that the call may use.
+  ResponseMatch match{ResponseMatch::kConnection};
   /// Largest body of the response.
   std::uint64_t max_body_bytes{64ULL << 20U};
 };
@@ -85,6 +88,14 @@
   ///     can't belong to another request.
   [[nodiscard]] bool IsFirstOnConnection(ExchangeKey key) const;
 
+  /// @return Earlier calls on the connection of an exchange whose responses carry no id, and may
+  ///     come again before the response to this one.
+  [[nodiscard]] int CountEarlierCallsWithoutId(ExchangeKey key) const;
+
+  /// @brief Closes the connection of an exchange when that ends, as its response could come again
+  ///     and not be recognised.
+  void PreventReuse(ExchangeKey key);
+
   /// @brief Pauses or resumes reading the response, for back pressure.
   void SetReading(ExchangeKey key, bool is_reading);
 
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -41,6 +41,15 @@
   world.SetEngineFaults(0);
 }
 
+/// Moves generations from engines that send replies to copy calls a second time, late.
+void LeaveWithRepeatedReplies(World& world, int first, int second) {
+  world.SetRepeatedReplies(true);
+  LeaveWithStreams(world, first, second);
+  LeaveWithStreams(world, first, second);
+  world.Run(milliseconds{600});
+  world.SetRepeatedReplies(false);
+}
+
 /// Crashes an engine, sometimes a leaving one, while resumable streams run.
 void CrashWithResumableStreams(World& world, int first, int second) {
   for (int count = 0; count < 4; ++count) {
@@ -138,6 +147,7 @@
          w.SetPause(first, milliseconds{600 + second * 100});
        }},
       {"end a pause", 6, [](World& w, int first, int) { w.SetPause(first, milliseconds{0}); }},
+      {"leave with repeated replies", 4, LeaveWithRepeatedReplies},
   };
   return kActions;
 }
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -17,6 +17,7 @@
 #include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/state.h"
+#include "snipeturn/loop/response_match.h"
 
 namespace snipeturn::entry {
 
@@ -70,6 +71,8 @@
   void SetFault(int number, int fault);
   /// Sets the fault of all engines.
   void SetEngineFaults(int fault);
+  /// Makes engines send replies to copy calls a second time, before the next on the connection.
+  void SetRepeatedReplies(bool is_repeating) { repeats_replies_ = is_repeating; }
   /// Changes the speed of an upstream.
   void SetSpeed(int number, int speed);
   /// Changes the speed of all upstreams, and of those that are added later.
@@ -222,6 +225,13 @@
     int requests{0};
   };
 
+  /// An idle connection of a process to an engine, as its HTTP client keeps them.
+  struct CallConnection {
+    loop::ConnectionHistory history;
+    /// Reply that the engine will send again before the next one.
+    std::optional<CopyEnded> late_reply;
+  };
+
   /// A process of a host: number and incarnation.
   using ProcessId = std::pair<int, int>;
 
@@ -242,6 +252,7 @@
     std::map<ProcessId, TimePoint> told_leaving_at;
     std::map<ProcessId, std::vector<StatedPause>> pauses;
     std::map<std::uint64_t, Job> jobs;
+    std::map<ProcessId, std::vector<CallConnection>> call_connections;
   };
 
   /// Ends a host's process a little after it has decided to exit; until then it takes requests.
@@ -299,6 +310,11 @@
   void ProduceEvent(const UpstreamId& id, std::int64_t start_time_ms, std::uint64_t job);
   void RespondToJob(const UpstreamId& id, std::int64_t start_time_ms, std::uint64_t job);
   void CopyGeneration(int host, int incarnation, const StartCopy& copy);
+  /// Takes the connection on which the process's HTTP client makes a call, or a new one.
+  [[nodiscard]] CallConnection AcquireConnection(FakeUpstream& upstream,
+                                                 int host,
+                                                 int incarnation,
+                                                 bool needs_new_connection);
   void CloseAttempt(int host, AttemptKey attempt);
   void CheckSingleRun(CallerId caller);
   void ChangeSpeed(FakeUpstream& upstream, int speed);
@@ -326,6 +342,7 @@
   std::map<std::string, Copy> copies_;
   Topic configuration_;
   Topic list_;
+  bool repeats_replies_{false};
   bool is_store_up_{true};
   std::chrono::milliseconds write_delay_{0};
   std::chrono::milliseconds peer_delay_{0};
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -364,6 +364,23 @@
   });
 }
 
+World::CallConnection World::AcquireConnection(FakeUpstream& upstream,
+                                               int number,
+                                               int incarnation,
+                                               bool needs_new_connection) {
+  CallConnection connection;
+  std::vector<CallConnection>& idle = upstream.call_connections[{number, incarnation}];
+  const auto found = std::find_if(idle.rbegin(), idle.rend(), [](const CallConnection& candidate) {
+    return loop::MayCarry(candidate.history, loop::ResponseMatch::kConnection);
+  });
+  if (!needs_new_connection && found != idle.rend()) {
+    connection = *found;
+    idle.erase(std::next(found).base());
+  }
+  loop::RecordCall(connection.history, loop::ResponseMatch::kConnection);
+  return connection;
+}
+
 void World::CopyGeneration(int number, int incarnation, const StartCopy& call) {
   CopyEnded ended;
   ended.request = call.request;
@@ -414,6 +431,24 @@
       }
     }
   }
+  if (source != nullptr && ended.status != CopyStatus::kNoAnswer) {
+    CallConnection connection =
+        AcquireConnection(*source, number, incarnation, call.needs_new_connection);
+    if (connection.late_reply) {
+      // The connection is closed when the reply to this call comes after it.
+      ended = *connection.late_reply;
+      ended.request = call.request;
+      ended.copy = call.copy;
+      reply_delay = milliseconds{1};
+    } else {
+      if (repeats_replies_ && Random(2) == 0) {
+        connection.late_reply = ended;
+      }
+      ScheduleAfter(reply_delay, [this, id = source->entry.id, number, incarnation, connection] {
+        upstreams_.at(id).call_connections[{number, incarnation}].push_back(connection);
+      });
+    }
+  }
   ScheduleAfter(reply_delay, [this, number, incarnation, ended] {
     RunOnProcess(number, incarnation, [this, number, ended] { ApplyEvent(number, ended); });
   });
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -207,8 +207,8 @@
 }
 
 // Guards against a generation that goes on elsewhere while its engine still works on it: the call
-// to stop it was reset unread on the connection of the first copy (review/2).
-TEST_CASE_METHOD(ResponseFixture, "stopCall_keptConnectionDropped_sentOnNewOne", "[loop]") {
+// to stop it was reset unread (review/2).
+TEST_CASE_METHOD(ResponseFixture, "stopCall_connectionReset_sentOnNewOne", "[loop]") {
   tcp::socket& stream = Send("r1", "/long/a");
   Write(stream, std::string(kStreamHead) + "Transfer-Encoding: chunked\r\n\r\n" +
                     "f\r\nid: 1\ndata: a\n\n\r\n");
@@ -222,10 +222,11 @@
   const std::string body = R"({"handle":"h-1","created_rev":1})";
   Write(upstream_sockets[1],
         "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
-  REQUIRE(ReadUntil(upstream_sockets[1], "target").find(R"("last":true)") != std::string::npos);
-  Reset(upstream_sockets[1]);
   REQUIRE(RunUntil([this] { return IsUpstreamReached() && upstream_sockets.size() == 3; }));
-  const std::string next = ReadUntil(upstream_sockets[2], "\r\n\r\n{");
+  REQUIRE(ReadUntil(upstream_sockets[2], "target").find(R"("last":true)") != std::string::npos);
+  Reset(upstream_sockets[2]);
+  REQUIRE(RunUntil([this] { return IsUpstreamReached() && upstream_sockets.size() == 4; }));
+  const std::string next = ReadUntil(upstream_sockets[3], "\r\n\r\n{");
   CHECK(next.find("Kv-From") == std::string::npos);
   CHECK(next.find("kv-move") != std::string::npos);
 }
--- a/test/snipeturn/loop/http_client_ends_test.cc
+++ b/test/snipeturn/loop/http_client_ends_test.cc
@@ -24,6 +24,7 @@
     call.pool = "pool";
     call.endpoint = endpoint();
     call.bytes = std::move(bytes);
+    call.match = ResponseMatch::kOrder;
     result.reset();
     ExchangeHandlers handlers;
     handlers.on_body = [this](std::string&& part) { body += part; };
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -20,6 +20,7 @@
     call.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
     call.timeout = timeout;
     call.max_body_bytes = max_body_bytes;
+    call.match = match;
     result.reset();
     body.clear();
     ExchangeHandlers handlers;
@@ -55,6 +56,7 @@
   std::string body;
   std::string expected_id = "1";
   std::uint64_t max_body_bytes{64ULL << 20U};
+  ResponseMatch match{ResponseMatch::kOrder};
   int status{0};
 };
 
@@ -195,6 +197,38 @@
   CHECK_FALSE(SecondCallReusesConnection(server));
 }
 
+// Guards against the response to a call without an id, sent again late, that is taken for the
+// response to the next such call (review/6).
+TEST_CASE_METHOD(ClientFixture, "connection_carriedCallWithoutId_notUsedForNextOne", "[loop]") {
+  const ResponseMatch first = GENERATE(ResponseMatch::kConnection, ResponseMatch::kNone);
+  match = first;
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(EndsInTime());
+  SECTION("a call whose response must be its own") {
+    match = ResponseMatch::kConnection;
+    CHECK_FALSE(SecondCallReusesConnection(server));
+  }
+  SECTION("calls that tell late responses from their own, or need not") {
+    match = GENERATE(ResponseMatch::kRequestId, ResponseMatch::kNone);
+    CHECK(SecondCallReusesConnection(server));
+  }
+}
+
+// Guards against a connection for each call while there are idle ones that have carried none.
+TEST_CASE_METHOD(ClientFixture, "callWithoutId_connectionCarriedRequestsOnly_reused", "[loop]") {
+  match = ResponseMatch::kRequestId;
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(EndsInTime());
+  match = ResponseMatch::kConnection;
+  CHECK(SecondCallReusesConnection(server));
+}
+
 TEST_CASE_METHOD(ClientFixture, "response_interim_finalOneDelivered", "[loop]") {
   Start();
   tcp::socket server = Accept();
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -23,10 +23,11 @@
 LATE_STREAM_END_S = 0.15
 # Time for which two engines may work on one request, and for which a disturbed link excuses it.
 MAX_OVERLAP_S, DISTURBED_S = 0.45, 3.0
-# Of so many requests, one is refused its last copy, and one has its engine drop the connection of
-# the call to stop it, unread, and work on when its stream is closed.
+# Of so many requests, one is refused its last copy, one has its engine drop the connection of the
+# first call to stop it, unread, and work on when its stream is closed, and one has each reply to its
+# calls, or its response, sent again before the next one on the connection.
 COPY_FAULTS = 6
-REFUSED_COPY, DROPPED_CALL = 0, 1
+REFUSED_COPY, DROPPED_CALL, REPEATED_REPLY = 0, 1, 2
 
 
 async def read_head(reader):
@@ -357,17 +358,23 @@
             "sequence": self.sequence}).encode()
 
     async def serve(self, reader, writer):
-        calls = 0
+        late_reply = b""
         while (head := await read_head(reader)) is not None:
             method, target, fields = head
             body = await reader.readexactly(int(fields.get("content-length", 0)))
+            if late_reply:
+                self.world.count("reply sent again")
+                writer.write(late_reply)
+                late_reply = b""
             if target.startswith("/api/"):
-                if target == "/api/kv-move" and calls and self.drops_call(json.loads(body)):
+                if target == "/api/kv-move" and self.drops_call(json.loads(body)):
                     self.world.count("stop call dropped")
                     reset(writer)
                     return
-                calls += 1
-                writer.write(self.control(method, target, body))
+                reply = self.control(method, target, body)
+                writer.write(reply)
+                if target != "/api/kv-move" or self.repeats_reply(json.loads(body)["id"]):
+                    late_reply = reply
             elif fields.get("expect-instance") != self.name:
                 writer.write(response(421, b"", [("Instance-Id", self.name)]))
             elif not self.check_signals(fields["request-id"]):
@@ -383,8 +390,14 @@
                     return
             elif not await self.handle_call(writer, fields, body):
                 return
+            elif self.repeats_reply(fields["request-id"]):
+                late_reply = response(200, b"again", [("Request-Id", fields["request-id"]),
+                                                      ("Response-Stamp", self.name)])
             await writer.drain()
 
+    def repeats_reply(self, request):
+        return self.world.copy_fault(request) == REPEATED_REPLY
+
     def check_signals(self, request):
         """Checks a request against what its daemon has heard from this upstream.
 
@@ -476,6 +489,9 @@
         if "kv-from" in fields:
             handle = fields["kv-from"].partition("/")[2]
             generation = self.world.kv_copies.pop(handle, None)
+            if generation and generation["request"] != request:
+                self.world.fail(f"MIXED: {request} goes on at {self.name} from the memory of "
+                                f"{generation['request']}")
             if generation is None or generation["request"] != request:
                 writer.write(response(503, b"", [("Not-Executed", "1"), ("Request-Id", request)]))
                 return True
@@ -541,8 +557,13 @@
                                 f"it went on at {self.name}")
 
     def drops_call(self, call):
-        return (call["last"] and self.world.copy_fault(call["id"]) == DROPPED_CALL
-                and call["id"] in self.generations)
+        """Tells whether it drops the first call to stop a generation."""
+        generation = self.generations.get(call["id"])
+        if (not call["last"] or generation is None or generation.get("dropped_call")
+                or self.world.copy_fault(call["id"]) != DROPPED_CALL):
+            return False
+        generation["dropped_call"] = True
+        return True
 
     def control(self, method, target, body):
         if target == "/api/report":
