Client: a status outside 100 to 599, or 101, ends the exchange at once

What callers saw: an upstream that answered with the status 000 to 099, or with 101, kept its caller waiting until the route's timeout (504); 600 to 999 were passed on as answers.

Cause: HttpClient took each status below 200 for an interim response and each other one for an answer; the parser accepts any three digits. In snipeturnd a status from 600 on was an answer, and 101 was waited behind.

Ruled out: other digits, text or versions in the status line (malformed, ended at once already); a 1xx response with a body (its body is read as a malformed response).

Change: a status is interim (100, 102 to 199), final (200 to 599) or invalid. An invalid one ends the exchange as one that may have run, before any of its fields is used: 502, a retry where the kind allows, the next call for a copy, "unknown" for the store.

Tests on the code before: response_statusOutsideProtocol_brokenAtOnce, response_statusOutsideProtocol_refusedAtOnce, callResponse_statusOutsideProtocol_calledAgain, logRead_statusOutsideProtocol_unknownAtOnce and http_exchange_with_invalid_status_is_broken_at_once (101, 600, 999) fail.

--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -48,6 +48,22 @@
   return std::chrono::seconds(seconds);
 }
 
+/// What a status code says about the response that bears it.
+enum class StatusKind : std::uint8_t { kInterim, kFinal, kInvalid };
+
+/// Classifies a status code by RFC 9110. No request of this client asks for another protocol, so
+/// 101 answers none.
+constexpr StatusKind Classify(int status) noexcept {
+  constexpr int kFirstInterim = 100;
+  constexpr int kSwitchingProtocols = 101;
+  constexpr int kFirstFinal = 200;
+  constexpr int kAfterLast = 600;
+  if (status < kFirstInterim || status >= kAfterLast || status == kSwitchingProtocols) {
+    return StatusKind::kInvalid;
+  }
+  return status < kFirstFinal ? StatusKind::kInterim : StatusKind::kFinal;
+}
+
 std::string UnboundedResponse(std::string_view what) {
   return fmt::format("{}: {}", kUnboundedResponse, what);
 }
@@ -247,8 +263,13 @@
                      internal::UnboundedResponse("chunk header or trailers too large"));
       return;
     }
-    constexpr int kFirstFinalStatus = 200;
-    const bool is_final = parser.is_head_done() && parser.head().status >= kFirstFinalStatus;
+    const internal::StatusKind kind = internal::Classify(parser.head().status);
+    if (parser.is_head_done() && kind == internal::StatusKind::kInvalid) {
+      FinishExchange(exchange, ExchangeResult::kBroken,
+                     fmt::format("invalid status {:03}", parser.head().status));
+      return;
+    }
+    const bool is_final = parser.is_head_done() && kind == internal::StatusKind::kFinal;
     if (!had_head && parser.is_head_done() && !is_final && exchange->handlers.on_interim) {
       exchange->handlers.on_interim(parser.head());
       if (exchange->is_finished) {
--- a/src/snipeturn/transport/http_client.cc
+++ b/src/snipeturn/transport/http_client.cc
@@ -89,8 +89,18 @@
   return space == nullptr ? 0 : std::atoi(space + 1);
 }
 
+/// Returns whether a status code is that of a final response; others answer no request.
+bool IsFinalStatus(int status) noexcept {
+  constexpr int kFirstFinal = 200;
+  constexpr int kAfterLast = 600;
+  return status >= kFirstFinal && status < kAfterLast;
+}
+
 std::size_t ReceivePiece(void* contents, std::size_t size, std::size_t count, void* data) {
   auto& receiver = *static_cast<Receiver*>(data);
+  if (!IsFinalStatus(StatusOf(*receiver.response))) {
+    return 0;
+  }
   const std::string_view piece(static_cast<const char*>(contents), size * count);
   if (receiver.sink != nullptr && StatusOf(*receiver.response) == 200) {
     return (*receiver.sink)(piece) ? piece.size() : 0;
@@ -139,8 +149,8 @@
         ulfius_send_http_streaming_request(&request_, &response_, ReceivePiece, &receiver);
     HttpResponse response;
     response.status = StatusOf(response_);
-    response.result =
-        result == U_OK && response.status != 0 ? HttpResult::kAnswered : HttpResult::kBroken;
+    response.result = result == U_OK && IsFinalStatus(response.status) ? HttpResult::kAnswered
+                                                                       : HttpResult::kBroken;
     if (const char* type = u_map_get_case(response_.map_header, "Content-Type")) {
       response.content_type = type;
     }
--- a/src/snipeturn/transport/http_client.h
+++ b/src/snipeturn/transport/http_client.h
@@ -16,7 +16,7 @@
 
 /// How an exchange ended.
 enum class HttpResult : std::uint8_t {
-  /// The complete response was received, whatever its status.
+  /// The complete response was received, with any final status (200 to 599).
   kAnswered,
   /// Nothing was sent, so that the server can't have run the request.
   kUnsent,
--- a/test/platform/store_client_test.cc
+++ b/test/platform/store_client_test.cc
@@ -243,5 +243,17 @@
   CHECK(changes.size() == 1);
 }
 
+// Guards against a read that waits for its timeout behind a status that is no answer, and against
+// an era that is learned from it.
+TEST_CASE_METHOD(StoreClientFixture, "logRead_statusOutsideProtocol_unknownAtOnce", "[platform]") {
+  const std::string code = GENERATE("000", "101", "999");
+  std::optional<LogRead> read;
+  client.ReadLog("keyed.t", {1, 5}, 10s, [&read](LogRead result) { read = std::move(result); });
+  Respond(code + " X", EraField("9"));
+  REQUIRE(RunUntil([&read] { return read.has_value(); }));
+  CHECK(read->status == StoreStatus::kUnknown);
+  CHECK(changes.empty());
+}
+
 }  // namespace
 }  // namespace snipeturn::platform
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -258,6 +258,36 @@
   CHECK(response.find("Retry-After") != std::string::npos);
 }
 
+// Guards against a caller who gets a status that is no answer, or waits for its timeout behind it.
+TEST_CASE_METHOD(ResponseFixture, "response_statusOutsideProtocol_refusedAtOnce", "[loop]") {
+  const std::string path = GENERATE("/book/a", "/look/a", "/long/a");
+  const std::string code = GENERATE("000", "101", "999");
+  CAPTURE(path, code);
+  tcp::socket& upstream = Send("r1", path);
+  Write(upstream, "HTTP/1.1 " + code + std::string(kStreamHead).substr(12) +
+                      "Content-Length: 16\r\n\r\nid: 1\ndata: ab\n\n");
+  const std::string response = ReadUntil(caller, "\r\n\r\n");
+  CHECK(response.find("HTTP/1.1 502") == 0);
+  CHECK(response.find("unknown") != std::string::npos);
+}
+
+// Guards against a move that waits for the timeout of a copy call behind such a status.
+TEST_CASE_METHOD(ResponseFixture, "callResponse_statusOutsideProtocol_calledAgain", "[loop]") {
+  tcp::socket& stream = Send("r1", "/long/a");
+  Write(stream, std::string(kStreamHead) + "Transfer-Encoding: chunked\r\n\r\n" +
+                    "f\r\nid: 1\ndata: a\n\n\r\n");
+  static_cast<void>(ReadUntil(caller, "data: a"));
+  AddUpstream("engine-2", "engines", {"127.0.0.1", FreePort()});
+  entry::UpstreamEntry source = runtime.state().upstreams.at("engine-1").entry;
+  source.leaving = true;
+  runtime.Apply(entry::UpstreamListed{source, {0, ++last_offset}});
+  for (std::size_t place = 1; place <= 2; ++place) {
+    REQUIRE(RunUntil([&] { return IsUpstreamReached() && upstream_sockets.size() == place + 1; }));
+    REQUIRE(ReadUntil(upstream_sockets[place], "target").find("kv-move") != std::string::npos);
+    Write(upstream_sockets[place], "HTTP/1.1 000 X\r\nContent-Length: 2\r\n\r\n{}");
+  }
+}
+
 // Guards against streams that are cut because their server marks the end by closing.
 TEST_CASE_METHOD(ResponseFixture, "stream_withoutLengthClosedInOrder_complete", "[loop]") {
   tcp::socket& upstream = Send("r1", "/long/a");
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -238,6 +238,39 @@
   CHECK(status == 404);
 }
 
+// Guards against a status line that is no final answer and is waited behind until the timeout, or
+// passed on as an answer.
+TEST_CASE_METHOD(ClientFixture, "response_statusOutsideProtocol_brokenAtOnce", "[loop]") {
+  const std::string code = GENERATE("000", "001", "099", "101", "600", "999");
+  const std::string rest =
+      GENERATE(" X\r\nContent-Length: 2\r\n\r\nok", " X\r\n\r\n", " \r\n\r\n",
+               " X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+  const std::string interim = GENERATE("", "HTTP/1.1 100 Continue\r\n\r\n");
+  CAPTURE(code, rest, interim);
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, interim + "HTTP/1.1 " + code + rest);
+  REQUIRE(EndsInTime());
+  CHECK(result == ExchangeResult::kBroken);
+  CHECK(reason.find(code) != std::string::npos);
+  CHECK(status == 0);
+  CHECK(body.empty());
+  CHECK_FALSE(SecondCallReusesConnection(server));
+}
+
+TEST_CASE_METHOD(ClientFixture, "response_statusOfProtocolWithoutName_delivered", "[loop]") {
+  const int code = GENERATE(200, 299, 418, 599);
+  Start();
+  tcp::socket server = Accept();
+  ReadUntil(server, "\r\n\r\n");
+  Write(server, "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 199 X\r\n\r\nHTTP/1.1 " +
+                    std::to_string(code) + " X\r\nContent-Length: 2\r\n\r\nok");
+  REQUIRE(EndsInTime());
+  CHECK(result == ExchangeResult::kComplete);
+  CHECK(status == code);
+}
+
 // Guards against a server that sends an endless response: memory and CPU time must stay bounded,
 // the connection must be closed and the call must end as one that may have run.
 TEST_CASE_METHOD(ClientFixture, "response_endless_brokenAndClosed", "[loop]") {
--- a/test/snipeturn/transport/http_client_test.cc
+++ b/test/snipeturn/transport/http_client_test.cc
@@ -55,6 +55,31 @@
   CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds{5});
 }
 
+// Guards against a status line that is no answer: it must neither reach a caller as one nor keep
+// the call waiting until its timeout.
+TEST_CASE("http_exchange_with_invalid_status_is_broken_at_once", "[transport]") {
+  const std::string status = GENERATE("000", "099", "101", "600", "999");
+  CAPTURE(status);
+  const ListeningSocket socket;
+  std::thread server([&] {
+    ::close(socket.Accept());  // The probe connection.
+    const int connection = socket.Accept();
+    char buffer[4096];
+    static_cast<void>(::read(connection, buffer, sizeof(buffer)));
+    const std::string response = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}";
+    static_cast<void>(::write(connection, response.data(), response.size()));
+    static_cast<void>(::read(connection, buffer, sizeof(buffer)));  // Until the client closes.
+    ::close(connection);
+  });
+  HttpRequest request = Post(socket.endpoint());
+  request.timeout = std::chrono::milliseconds{8000};
+  const auto begin = std::chrono::steady_clock::now();
+  const HttpResponse response = Exchange(request);
+  CHECK(response.result == HttpResult::kBroken);
+  CHECK(std::chrono::steady_clock::now() - begin < std::chrono::seconds{4});
+  server.join();
+}
+
 struct CountingServer {
   std::atomic<int> requests{0};
   HttpServer server;
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -19,6 +19,9 @@
 MAX_REQUESTS_IN_PAUSE = 2
 # Of so many requests that an upstream loses, one gets an answer without end.
 ENDLESS_ANSWERS = 3
+# Of so many requests at an upstream that sends extra answers, one gets a status that is no answer.
+INVALID_ANSWERS = 3
+INVALID_STATUSES = ("000", "101", "999")
 # Time by which the end of a stream that was stopped for a move comes after the reply to the call.
 LATE_STREAM_END_S = 0.15
 # Time for which two engines may work on one request, and for which a disturbed link excuses it.
@@ -465,6 +468,14 @@
             await asyncio.sleep(3)
         if self.fault in ("endless", "lose"):
             await self.send_without_end(writer, request)
+        place, is_valid = divmod(request_number(request), INVALID_ANSWERS)
+        if self.fault == "extra" and not is_valid:
+            self.world.count("answered with an invalid status")
+            self.world.invalid_answers[request] = self
+            writer.write(response(INVALID_STATUSES[place % len(INVALID_STATUSES)],
+                                  f"{request}:{len(body)}".encode(),
+                                  [("Request-Id", request), ("Response-Stamp", self.name)]))
+            return True
         response_bytes = response(200, f"{request}:{len(body)}".encode(),
                                   [("Request-Id", request), ("Response-Stamp", self.name)] +
                                   self.leaving_field())
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -251,6 +251,8 @@
         self.random = random.Random(seed)
         self.executions, self.kv_copies, self.failures = {}, {}, []
         self.refused, self.idempotent, self.counts = set(), set(), {}
+        # Upstreams that answered a request with a status that is no answer.
+        self.invalid_answers = {}
         # Requests that ended without a whole response during a planned stop.
         self.unanswered = []
         self.daemon_by_request = {}
@@ -282,6 +284,15 @@
     def count(self, what):
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def check_status(self, call):
+        """Checks that a status which is no answer is neither passed on nor waited behind."""
+        if not 200 <= call.status < 600:
+            self.fail(f"MIXED: {call.request} got status {call.status}")
+        upstream = self.invalid_answers.get(call.request)
+        disturbed = max(call.daemon.last_disturbed(), upstream.proxy.disturbed_at) if upstream else 0
+        if upstream and call.kind == "unsafe" and call.status == 504 and disturbed < call.sent_at:
+            self.fail(f"CONFIG: {call.request} timed out behind an invalid status")
+
     def copy_fault(self, request):
         """Returns which fault engines have with copies of a request, if any."""
         return request_number(request) % COPY_FAULTS if self.has_copy_faults else None
@@ -493,6 +504,7 @@
     fields = {line.partition(":")[0].lower(): line.partition(":")[2].strip()
               for line in head.split("\r\n")[1:]}
     world.count(f"{kind} {status}")
+    world.check_status(call)
     if "chunked" in fields.get("transfer-encoding", ""):
         await check_stream(world, reader, request, events)
         if call.is_sent_in_stop():
