Migration: a call to stop a generation that is turned away isn't taken for a stop

Cause: HandleStopCallEnd took each 503 for "no room at the target", which says that the generation has stopped. An engine that sheds load answers 503 as well, without a handle, and works on.

Ruled out: lost calls (the engine answers) and late ends of streams (it works on until the end).

Change: without a handle the call is made again after 20 ms, as after 409, while something has come from the generation within 1.5 s. It works because an engine that has stopped it names the handle.

Test: stopCall_refusedWithoutHandle_repeatedBeforeResume fails before.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -229,6 +229,16 @@
   ScheduleMigration(scope, request, status == CopyStatus::kUnsent ? kRetryDelay : kBusyRetryDelay);
 }
 
+/// Calls again to stop a generation whose engine didn't do so, or hasn't finished, unless nothing
+/// has come from it for long.
+void WaitForStop(EventScope& scope, Request& request) {
+  if (scope.now - request.last_event_at > kMaxStoppedTime) {
+    ResumeAt(scope, request, request.migration->target);
+  } else {
+    ScheduleMigration(scope, request, kBusyRetryDelay);
+  }
+}
+
 /// Handles the end of the call that stops the generation and copies the rest of its memory.
 void HandleStopCallEnd(EventScope& scope, Request& request, const CopyEnded& event) {
   Migration& migration = *request.migration;
@@ -244,17 +254,19 @@
       ResumeAfterLastEvents(scope, request, false);
       return;
     case CopyStatus::kNoRoom:
+      if (event.handle.empty()) {
+        // An engine that has stopped the generation names the handle of its memory. This one turned
+        // the call away, as it turns requests away that it doesn't run.
+        WaitForStop(scope, request);
+        return;
+      }
       // The generation has stopped. The source still has its memory, and the target that of the
       // earlier rounds.
       ResumeAt(scope, request,
                MayResumeAt(scope, migration.source) ? migration.source : migration.target);
       return;
     case CopyStatus::kBusy:
-      if (scope.now - request.last_event_at > kMaxStoppedTime) {
-        ResumeAt(scope, request, migration.target);
-      } else {
-        ScheduleMigration(scope, request, kBusyRetryDelay);
-      }
+      WaitForStop(scope, request);
       return;
     case CopyStatus::kNoAnswer:
     case CopyStatus::kUnsent:
--- a/test/snipeturn/entry/entry_fixture.h
+++ b/test/snipeturn/entry/entry_fixture.h
@@ -161,11 +161,22 @@
     ended.request = copy.request;
     ended.copy = copy.copy;
     ended.status = status;
-    ended.handle = status == CopyStatus::kCopied ? "handle-1" : "";
+    // An engine that has stopped the generation names its handle also without room at the target.
+    const bool has_stopped = status == CopyStatus::kNoRoom && copy.final;
+    ended.handle = status == CopyStatus::kCopied || has_stopped ? "handle-1" : "";
     ended.events = events;
     Apply(ended);
   }
 
+  /// Ends a copy call that the engine turned away without doing anything.
+  void TurnCopyAway(const StartCopy& copy) {
+    CopyEnded ended;
+    ended.request = copy.request;
+    ended.copy = copy.copy;
+    ended.status = CopyStatus::kNoRoom;
+    Apply(ended);
+  }
+
   State state;
   DesiredState desired;
   TimePoint now{std::chrono::seconds(1000)};
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -275,7 +275,7 @@
   const StartCopy last = EffectsOf<StartCopy>().at(0);
   REQUIRE(last.final);
   state.requests.at(send.request).migration->handle.clear();
-  EndCopy(last, CopyStatus::kNoRoom);
+  TurnCopyAway(last);
   EndWithConnection(send.attempt);
   CHECK(EffectsOf<FinishStream>().empty());
   CHECK(EffectsOf<BreakStream>().size() == 1);
@@ -349,6 +349,29 @@
   CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
 }
 
+// Guards against a generation that goes on elsewhere while its engine works on it: the engine
+// turned the call to stop it away without a handle, as it does with any call that it doesn't run
+// (review/7).
+TEST_CASE_METHOD(MigrationFixture,
+                 "stopCall_refusedWithoutHandle_repeatedBeforeResume",
+                 "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
+  StartCopy call = EffectsOf<StartCopy>().at(0);
+  for (std::uint64_t round = 1; round <= 8; ++round) {
+    TurnCopyAway(call);
+    CHECK(EffectsOf<Send>().empty());
+    DeliverEvents(send.attempt, 5 + round);
+    AdvanceTime(40ms);
+    CHECK(EffectsOf<Send>().empty());
+    REQUIRE(EffectsOf<StartCopy>().size() == 1);
+    call = EffectsOf<StartCopy>()[0];
+    CHECK(call.final);
+  }
+  EndCopy(call, CopyStatus::kCopied, 13);
+  REQUIRE(EffectsOf<Send>().size() == 1);
+  CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
+}
+
 // Guards against a stream that waits without bound for an engine that can't be reached any more.
 TEST_CASE_METHOD(MigrationFixture, "stopCall_neverAnsweredInSilence_resumed", "[entry]") {
   EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -28,9 +28,11 @@
 MAX_OVERLAP_S, DISTURBED_S = 0.45, 3.0
 # Of so many requests, one is refused its last copy, one has its engine drop the connection of the
 # first call to stop it, unread, and work on when its stream is closed, and one has each reply to its
-# calls, or its response, sent again before the next one on the connection.
+# calls, or its response, sent again before the next one on the connection. One has the first calls
+# to stop it turned away, as a server that sheds load does, and is worked on too.
 COPY_FAULTS = 6
-REFUSED_COPY, DROPPED_CALL, REPEATED_REPLY = 0, 1, 2
+REFUSED_COPY, DROPPED_CALL, REPEATED_REPLY, SHED_CALL = 0, 1, 2, 3
+SHED_CALLS = 3
 
 
 async def read_head(reader):
@@ -538,7 +540,7 @@
                     self.record_first_event(request)
                 await asyncio.sleep(self.event_s * self.slowness())
         except ConnectionError:
-            if self.world.copy_fault(request) == DROPPED_CALL:
+            if self.world.copy_fault(request) in (DROPPED_CALL, SHED_CALL):
                 await self.work_on(generation)
             raise
         finally:
@@ -587,6 +589,12 @@
         generation = self.generations.get(call["id"])
         if generation is None:
             return response(404)
+        shed = generation.get("shed_calls", 0)
+        if (call["last"] and self.world.copy_fault(call["id"]) == SHED_CALL
+                and shed < SHED_CALLS):
+            self.world.count("stop call shed")
+            generation["shed_calls"] = shed + 1
+            return response(503, b"", [("Not-Executed", "1")])
         handle = f"h-{generation['id']}"
         self.world.kv_copies[handle] = generation if call["last"] else dict(generation)
         if call["last"]:
