Migration: calls to stop a generation that fail in a row don't show that it has stopped

Cause: after three calls without a response a generation counted as stopped unless an event had come since the last of them began. A call that is reset lasts a millisecond, events come 40 ms apart.

Ruled out: reused connections (repeated calls use new ones).

Change: the generation counts as running while its connection is open and something came from it, or the first call to stop it was made, within 1.5 s (the bound for a copy that is never done).

Test: stopCall_resetBetweenEvents_notResumed fails before. stopCall_neverAnsweredInSilence_resumed made three calls in 0.3 s, which is the fault; it now takes 1.5 s of silence.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -39,8 +39,9 @@
 /// Calls of one migration that may get no response until a generation that sends nothing any more
 /// is taken for stopped: one for a dropped connection, the others for a link that loses data.
 constexpr int kMaxUnansweredCalls = 3;
-/// Time without events after which a generation whose last copy is still being made goes on from
-/// the copy before. Callers abandon a stream after two seconds or more without events.
+/// Time without events after which a generation goes on from an earlier copy although its engine is
+/// still making the last one, or answered no call to stop it. Callers abandon a stream after two
+/// seconds or more without events.
 constexpr std::chrono::milliseconds kMaxStoppedTime{1500};
 /// Resume attempts that engines may refuse before the migration is given up.
 constexpr int kMaxRefusedResumes = 3;
@@ -92,6 +93,9 @@
   migration.copy = scope.state.next_copy++;
   migration.call_began = scope.now;
   migration.rounds += 1;
+  if (final && migration.step != MigrationStep::kStopping) {
+    migration.stop_began = scope.now;
+  }
   migration.step = final ? MigrationStep::kStopping : MigrationStep::kCopying;
   scope.effects.push_back(StartCopy{request.key, migration.copy, migration.source,
                                     migration.source_endpoint, migration.target_endpoint, final,
@@ -221,8 +225,11 @@
 void RepeatStopCall(EventScope& scope, Request& request, CopyStatus status) {
   Migration& migration = *request.migration;
   const bool is_source_gone = migration.has_source_ended && status == CopyStatus::kUnsent;
-  const bool has_sent_events = request.last_event_at > migration.call_began;
-  if (is_source_gone || (migration.unanswered_calls >= kMaxUnansweredCalls && !has_sent_events)) {
+  // Calls can fail faster than events come.
+  const bool may_send_events =
+      !migration.has_source_ended &&
+      scope.now - std::max(request.last_event_at, migration.stop_began) <= kMaxStoppedTime;
+  if (is_source_gone || (migration.unanswered_calls >= kMaxUnansweredCalls && !may_send_events)) {
     ResumeAt(scope, request, migration.target);
     return;
   }
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -72,6 +72,8 @@
   int unanswered_calls{0};
   TimePoint began{};
   TimePoint call_began{};
+  /// When the first call to stop the generation began.
+  TimePoint stop_began{};
   /// Handle of the copy, once the source has returned one.
   std::string handle;
   /// The source's connection has ended.
