Entry: a stream without its upstream's receipt isn't passed on

Cause: the receipt was looked for at the end of whole answers only; streams are passed on as they come, head first.

Ruled out: a receipt that the daemon drops (the upstream's head has none).

Change: a stream whose head would reach the caller ends there with 502 if it has no receipt. One that goes on at another engine has its head already.

Test: stream_withoutReceipt_refusedAtOnce fails before.

--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -150,9 +150,22 @@
     Apply(entry::UpstreamSignalled{attempt.upstream, attempt.sent_at, attempt.metadata.signals,
                                    true});
   }
+  // The effects of the event above may have ended the attempt.
+  const auto still_active = active_attempts_.find(key);
+  if (still_active != active_attempts_.end() && LacksReceipt(still_active->second)) {
+    metrics_.Add(AddToCounter{kDroppedReplies, "no_receipt", 1});
+    client_.Cancel(still_active->second.exchange);
+    HandleAttemptEnd(key, ExchangeResult::kBroken, "stream without a receipt");
+  }
   return true;
 }
 
+bool EntryRuntime::LacksReceipt(const ActiveAttempt& attempt) const {
+  const auto open_request = open_requests_.find(attempt.request);
+  return attempt.is_event_stream && !attempt.metadata.has_receipt &&
+         open_request != open_requests_.end() && !open_request->second.is_stream_started;
+}
+
 bool EntryRuntime::IsLateCallResponse(const ActiveAttempt& attempt,
                                       const ResponseMetadata& metadata) const {
   // Servers put a receipt into responses to requests only.
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -162,6 +162,8 @@
   void ExecuteEffect(entry::Effect& effect);
   void StartAttempt(const entry::Send& send);
   bool HandleResponseHead(entry::AttemptKey key, const HttpHead& head);
+  /// Tells whether the head of a stream, which its caller would get, lacks the upstream's receipt.
+  [[nodiscard]] bool LacksReceipt(const ActiveAttempt& attempt) const;
   /// Tells whether a response without an id may be that of an earlier call, come again, so that the
   /// response to the attempt is still to come.
   [[nodiscard]] bool IsLateCallResponse(const ActiveAttempt& attempt,
--- a/test/snipeturn/loop/entry_runtime_response_test.cc
+++ b/test/snipeturn/loop/entry_runtime_response_test.cc
@@ -271,6 +271,20 @@
   CHECK(response.find("unknown") != std::string::npos);
 }
 
+// Guards against a stream that its caller gets as a success without the receipt of its upstream
+// (review/9).
+TEST_CASE_METHOD(ResponseFixture, "stream_withoutReceipt_refusedAtOnce", "[loop]") {
+  const std::string framing =
+      GENERATE("Transfer-Encoding: chunked\r\n\r\nf\r\nid: 1\ndata: a\n\n\r\n",
+               "Connection: close\r\n\r\nid: 1\ndata: a\n\n");
+  tcp::socket& upstream = Send("r1", "/long/a");
+  Write(upstream,
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Type: text/event-stream\r\n" + framing);
+  const std::string response = ReadUntil(caller, "\r\n\r\n");
+  CHECK(response.find("HTTP/1.1 502") == 0);
+  CHECK(response.find("data: a") == std::string::npos);
+}
+
 // Guards against a move that waits for the timeout of a copy call behind such a status.
 TEST_CASE_METHOD(ResponseFixture, "callResponse_statusOutsideProtocol_calledAgain", "[loop]") {
   tcp::socket& stream = Send("r1", "/long/a");
