Entry: hosts tell peers of versions that they have only heard of

Cause: a host told its peers the version that it had read. After a return of the store from a copy, the hosts that had read the newest version were restarted in turn; those that knew of it by hearsay refused, and told the next one the older version, which it then took for the newest.

Ruled out: late replies (the third host had both before it served).

Change: replies and load tables state the newest version that a host has read or heard of, as long as it waits for it itself (30 s from when it found that it lacks it). Receivers are unchanged; a version that is never written again is forgotten as before.

--- a/src/snipeturn/entry/confirmation.cc
+++ b/src/snipeturn/entry/confirmation.cc
@@ -61,8 +61,7 @@
       store.confirmed ? std::chrono::ceil<std::chrono::milliseconds>(scope.now - *store.confirmed)
                       : kUnconfirmedAge;
   scope.effects.push_back(SendConfirmation{event.host, event.requested_at, store.position,
-                                           scope.state.desired ? scope.state.desired->version : 0,
-                                           age});
+                                           NewestKnownVersion(scope.state, scope.now), age});
 }
 
 void HandleConfirmation(EventScope& scope, const ConfirmationReceived& event) {
--- a/src/snipeturn/entry/effect.h
+++ b/src/snipeturn/entry/effect.h
@@ -140,7 +140,7 @@
   /// Time of the request by the requesting host's clock.
   TimePoint requested_at{};
   StorePosition position{};
-  /// Version of this host's configuration.
+  /// Newest version of the configuration that this host has read or heard of.
   std::int64_t version{0};
   /// Age of this host's last read, counted from its start.
   std::chrono::milliseconds age{0};
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -365,7 +365,7 @@
   std::vector<PeerUpdate> recent_updates;
   /// Position up to which the host has read the configuration.
   StorePosition configuration_position{};
-  /// Version of its configuration; empty while it has none.
+  /// Newest version of the configuration that it has read or heard of; empty if it knows of none.
   std::optional<std::int64_t> configuration_version;
   /// Time since its last read of the configuration ended. Set only by a host that waits at the
   /// store for changes, and thus would have broadcast one.
@@ -423,7 +423,8 @@
   TimePoint requested_at{};
   /// Position that the other host's last read had reached when it ended.
   StorePosition position{};
-  /// Version of the other host's configuration; empty in the replies of an earlier release.
+  /// Newest version that the other host has read or heard of; empty in the replies of an earlier
+  /// release.
   std::optional<std::int64_t> version;
   /// Time from the start of that read to the reply.
   std::chrono::milliseconds age{0};
--- a/src/snipeturn/entry/load.cc
+++ b/src/snipeturn/entry/load.cc
@@ -6,6 +6,7 @@
 #include "snipeturn/entry/learned_capacity.h"
 #include "snipeturn/entry/readers.h"
 #include "snipeturn/entry/rollouts.h"
+#include "snipeturn/entry/store_return.h"
 #include "snipeturn/entry/upstream_signals.h"
 
 namespace snipeturn::entry {
@@ -49,8 +50,8 @@
     }
   }
   table.configuration_position = state.store.position;
-  if (state.desired) {
-    table.configuration_version = state.desired->version;
+  if (const std::int64_t version = NewestKnownVersion(state, now); version > 0) {
+    table.configuration_version = version;
   }
   if (state.store.confirmed && IsConfigurationReader(state, now)) {
     table.configuration_age = ToMilliseconds(now - state.store.read_at);
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -42,8 +42,8 @@
   /// End of this host's first read of the upstream list in the present era. Records before it may
   /// be those of the copy.
   std::optional<StorePosition> copy_list_end;
-  /// Highest version that a peer has in force, and since when this host lacks a version that a peer
-  /// has.
+  /// Highest version that a peer has read or heard of, and since when this host lacks a version
+  /// that a peer has.
   std::int64_t peers_version{0};
   std::optional<TimePoint> behind_since;
   bool has_logged_behind{false};
--- a/src/snipeturn/entry/store_return.cc
+++ b/src/snipeturn/entry/store_return.cc
@@ -236,6 +236,14 @@
   return state.store.copy_held_until && now < *state.store.copy_held_until;
 }
 
+std::int64_t NewestKnownVersion(const State& state, TimePoint now) noexcept {
+  const StoreView& store = state.store;
+  const std::int64_t own = internal::OwnVersion(state);
+  const bool is_waiting =
+      !store.behind_since || now - *store.behind_since < internal::kMaxBehindPeers;
+  return is_waiting ? std::max(own, store.peers_version) : own;
+}
+
 bool MayBeOfCopy(const State& state, const StorePosition& position, TimePoint now) noexcept {
   const StoreView& store = state.store;
   return IsCopyHeld(state, now) && store.era && position.era == *store.era &&
--- a/src/snipeturn/entry/store_return.h
+++ b/src/snipeturn/entry/store_return.h
@@ -19,6 +19,13 @@
                                const StorePosition& position,
                                TimePoint now) noexcept;
 
+/// @brief Newest version of the configuration that this host has read or heard of, for its peers.
+///
+/// What it has only heard of counts as long as it waits for that version itself: a host that starts
+/// after all that had read it have ended must not take an older one for the newest.
+/// @return The version; 0 if it knows of none.
+[[nodiscard]] std::int64_t NewestKnownVersion(const State& state, TimePoint now) noexcept;
+
 }  // namespace snipeturn::entry
 
 namespace snipeturn::entry::internal {
@@ -40,7 +47,7 @@
 ///     store lists. Begins with the store's return, and ends after a while.
 [[nodiscard]] bool HoldsEvacuation(EventScope& scope, const std::string& zone);
 
-/// @brief Learns the version that a peer has in force.
+/// @brief Learns the newest version that a peer has read or heard of.
 void LearnPeerVersion(EventScope& scope, std::int64_t version);
 
 /// @brief Tells whether the configuration that this host has read is older than a peer's, so that
--- a/test/snipeturn/entry/store_return_test.cc
+++ b/test/snipeturn/entry/store_return_test.cc
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/entry/load.h"
 #include "snipeturn/entry/readers.h"
 
 namespace snipeturn::entry {
@@ -449,6 +450,35 @@
   }
 }
 
+// Guards against a restarted host that serves by the copy because its peers, restarted before it,
+// haven't read the lost version and know of it only from processes that have ended (review/10).
+TEST_CASE_METHOD(NewHostFixture, "newHost_peersOnlyKnowOfVersion_toldOfIt", "[entry]") {
+  ReadConfiguration();
+  PeerLoadReceived table;
+  table.host = "host-2";
+  table.configuration_version = 9;
+  Apply(table);
+  const std::int64_t own = state.desired->version;
+  const auto told_version = [this] {
+    Apply(ConfirmationRequested{"host-3", TimePoint{7s}});
+    return EffectsOf<SendConfirmation>().at(0).version;
+  };
+  CHECK(told_version() == 9);
+  CHECK(MakeLoadBroadcast(state, now).configuration_version == 9);
+  SECTION("the version is written again") {
+    desired.version = 9;
+    Apply(DesiredStateRead{desired});
+    CHECK(told_version() == 9);
+  }
+  SECTION("nobody writes it again") {
+    ReadConfiguration();
+    AdvanceTime(31s);
+    ReadConfiguration();
+    CHECK(told_version() == own);
+    CHECK(MakeLoadBroadcast(state, now).configuration_version == own);
+  }
+}
+
 // Guards against hosts that refuse for 0.3 s when all start together: none has a confirmed read.
 TEST_CASE_METHOD(NewHostFixture, "newHost_peerHasJustStarted_servesAtOnce", "[entry]") {
   Apply(HostsRead{2, {{"host-2", "zone-a"}}});
