Tests: peer sockets take a free port, ports of transport tests are kept

Cause: the fixture drew the peer's port, a UDP port, as a TCP port. A UDP socket of another process with that number made the bind fail; the platform tests ran beside it, whose store follower fixture holds two UDP sockets for each case. The fixture of the store follower and FreeEndpoint() of the transport tests also let go of TCP ports before they were used: beside a trial that left 41,400 connections in TIME_WAIT, 3 of 117 platform cases and 1 of 30 runtime cases failed.

Ruled out: a race of the kernel between bind and connect (6,900 rounds by six processes with the calls of the fixture: none failed); the process tests, which draw ports below the ephemeral range.

Change: the peer socket of the fixtures binds port 0 and tells its port; the fixtures print why Start() failed; TCP ports that are drawn stay bound by a socket that doesn't listen.

--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -115,6 +115,10 @@
   return std::nullopt;
 }
 
+std::uint16_t EntryRuntime::peer_port() const {
+  return peer_socket_ ? peer_socket_->port() : 0;
+}
+
 void EntryRuntime::HandleRequest(ConnectionKey key, HttpHead&& head, std::string&& body) {
   LimitResponseMemory();
   if (FindConnection(key) == nullptr) {
--- a/src/snipeturn/loop/entry_runtime.h
+++ b/src/snipeturn/loop/entry_runtime.h
@@ -100,6 +100,8 @@
   [[nodiscard]] HttpClient& client() noexcept { return client_; }
   [[nodiscard]] const entry::State& state() const noexcept { return state_; }
   [[nodiscard]] bool is_stopped() const noexcept { return is_stopped_; }
+  /// @return The port of the peer socket, 0 before `Start()`.
+  [[nodiscard]] std::uint16_t peer_port() const;
 
  private:
   using Acceptor = boost::asio::ip::tcp::acceptor;
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -385,6 +385,12 @@
   AwaitReadable();
 }
 
+std::uint16_t PeerSocket::port() const {
+  // A socket that isn't open has the default endpoint.
+  boost::system::error_code ignored;
+  return socket_.local_endpoint(ignored).port();
+}
+
 void PeerSocket::AwaitReadable() {
   socket_.async_wait(boost::asio::ip::udp::socket::wait_read,
                      [this](const boost::system::error_code& wait_error) {
--- a/src/snipeturn/loop/peer_socket.h
+++ b/src/snipeturn/loop/peer_socket.h
@@ -68,7 +68,7 @@
   /// @brief Opens the socket; see `failure`.
   /// @param context The event loop.
   /// @param host Name of this host, whose own messages are ignored.
-  /// @param local Address and port to bind.
+  /// @param local Address and port to bind; port 0 takes any that is free.
   /// @param on_message Receives the peers' messages.
   PeerSocket(boost::asio::io_context& context,
              std::string host,
@@ -77,6 +77,8 @@
 
   /// @return The error message when the socket can't be opened, else nothing.
   [[nodiscard]] const std::optional<std::string>& failure() const noexcept { return failure_; }
+  /// @return The bound port, 0 if the socket can't be opened.
+  [[nodiscard]] std::uint16_t port() const;
   [[nodiscard]] std::uint64_t received_datagrams() const noexcept { return received_datagrams_; }
 
   /// @brief Replaces the peers by the hosts that the store lists; hosts that sent a message since
--- a/test/platform/store_follower_test.cc
+++ b/test/platform/store_follower_test.cc
@@ -7,6 +7,7 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "fake_store.h"
@@ -31,7 +32,9 @@
         log("host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC)),
         runtime(context, MakeOptions(rollouts_enabled), EntryWireCodec(), log),
         follower(context, runtime, endpoint(), "host-1", {"127.0.0.1", 7200}) {
-    REQUIRE_FALSE(runtime.Start());
+    const std::optional<std::string> failure = runtime.Start();
+    INFO("failed: " << failure.value_or(""));
+    REQUIRE_FALSE(failure.has_value());
     WriteVersion(1);
   }
 
@@ -123,20 +126,14 @@
   StoreFollower follower;
 
  private:
-  Endpoint FreeEndpoint() {
-    const boost::asio::ip::tcp::acceptor free(context,
-                                              {boost::asio::ip::address_v4::loopback(), 0});
-    return {"127.0.0.1", free.local_endpoint().port()};
-  }
-
   loop::RuntimeOptions MakeOptions(bool rollouts_enabled) {
     loop::RuntimeOptions options;
     options.entry.rollouts_enabled = rollouts_enabled;
     options.entry.host = "host-1";
     options.entry.zone = "zone-a";
-    options.front = FreeEndpoint();
-    options.ready = FreeEndpoint();
-    options.peer = FreeEndpoint();
+    options.front = {"127.0.0.1", FreePort()};
+    options.ready = {"127.0.0.1", FreePort()};
+    options.peer = {"127.0.0.1", 0};
     return options;
   }
 };
--- a/test/snipeturn/loop/entry_runtime_peers_test.cc
+++ b/test/snipeturn/loop/entry_runtime_peers_test.cc
@@ -11,7 +11,7 @@
 // Guards against a host that counts its own load twice, and itself as another host: a record of
 // another writer names its address.
 TEST_CASE_METHOD(RuntimeFixture, "peer_isThisHost_ownLoadIgnored", "[loop]") {
-  runtime.SetPeers({{"other", peer}});
+  runtime.SetPeers({{"other", {"127.0.0.1", runtime.peer_port()}}});
   RunFor(1200ms);
   CHECK(runtime.state().peers.empty());
   CHECK(runtime.state().hosts <= 1);
@@ -26,15 +26,15 @@
       EncodeConfirmationRequest("host-2", entry::RequestConfirmation{"host-1", TimePoint{}});
   const auto until = std::chrono::steady_clock::now() + 1s;
   int handled = 0;
-  const std::uint16_t port = FreePort();
-  const udp::endpoint own(boost::asio::ip::address_v4::loopback(), port);
-  PeerSocket peer_socket(context, "host-1", {"127.0.0.1", port}, [&](PeerMessage&& /*message*/) {
+  udp::endpoint own(boost::asio::ip::address_v4::loopback(), 0);
+  PeerSocket peer_socket(context, "host-1", {"127.0.0.1", 0}, [&](PeerMessage&& /*message*/) {
     ++handled;
     if (std::chrono::steady_clock::now() < until) {
       sender.send_to(boost::asio::buffer(datagram), own);
     }
   });
   REQUIRE_FALSE(peer_socket.failure());
+  own.port(peer_socket.port());
   int handled_at_timer = 0;
   boost::asio::steady_timer timer(context, 50ms);
   timer.async_wait([&](const boost::system::error_code& /*error*/) { handled_at_timer = handled; });
--- a/test/snipeturn/loop/loop_fixture.h
+++ b/test/snipeturn/loop/loop_fixture.h
@@ -21,7 +21,7 @@
  public:
   LoopFixture() : acceptor(context, {boost::asio::ip::address_v4::loopback(), 0}) {}
 
-  /// Returns a port that no other process is given while the fixture exists, as a socket that
+  /// Returns a TCP port that no other process is given while the fixture exists, as a socket that
   /// doesn't listen stays bound to it.
   std::uint16_t FreePort() {
     tcp::socket& socket = held_ports.emplace_back(context, tcp::v4());
--- a/test/snipeturn/loop/runtime_fixture.h
+++ b/test/snipeturn/loop/runtime_fixture.h
@@ -4,6 +4,7 @@
 #include <unistd.h>
 #include <catch2/catch.hpp>
 
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,7 +27,9 @@
       : log("host-1", ::open("/dev/null", O_WRONLY | O_CLOEXEC)),
         runtime(context, MakeOptions(memory, max_descriptors), platform::EntryWireCodec(), log),
         caller(context) {
-    REQUIRE_FALSE(runtime.Start());
+    const std::optional<std::string> failure = runtime.Start();
+    INFO("failed: " << failure.value_or(""));
+    REQUIRE_FALSE(failure.has_value());
     entry::DesiredState desired;
     desired.version = 1;
     desired.services["plain"].name = "plain";
@@ -90,8 +93,7 @@
     options.front = {"127.0.0.1", front};
     ready = FreePort();
     options.ready = {"127.0.0.1", ready};
-    peer = {"127.0.0.1", FreePort()};
-    options.peer = peer;
+    options.peer = {"127.0.0.1", 0};
     metrics = FreePort();
     options.metrics = Endpoint{"127.0.0.1", metrics};
     return options;
@@ -129,7 +131,6 @@
 
   std::uint16_t front{0};
   std::uint16_t ready{0};
-  Endpoint peer;
   std::uint16_t metrics{0};
   std::uint64_t last_offset{0};
   LogWriter log;
--- a/test/snipeturn/transport/loopback.h
+++ b/test/snipeturn/transport/loopback.h
@@ -40,9 +40,21 @@
   int port_{0};
 };
 
-/// Returns a loopback endpoint whose port was free at the time of the call.
+/// Returns a loopback endpoint that no other process is given: a socket that doesn't listen stays
+/// bound to it until the process ends. Connections are refused until a server listens there.
 inline Endpoint FreeEndpoint() {
-  return ListeningSocket().endpoint();
+  const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int is_reusable = 1;
+  ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &is_reusable, sizeof(is_reusable));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  if (::bind(socket, reinterpret_cast<sockaddr*>(&address), size) != 0 ||
+      ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size) != 0) {
+    return {};
+  }
+  return {"127.0.0.1", ntohs(address.sin_port)};
 }
 
 /// Starts a server on a free port. Retries, because another process may take the port in the
