Don't stop a generation for a move after its last event

Callers saw a stream cut short: a generation at the most that its caller allows was stopped for a move before its connection ended.

Cause: RemainingDuration() assumes a quarter of the output so far as still to come, also where the caller's maximum leaves less.

Change: what is assumed to be left ends at the maximum. Such a generation isn't moved, and a move that has begun isn't completed; its engine ends it. Without a maximum nothing changes.

Ruled out: taking an empty response of a target for complete, since an engine that fails before its first event looks the same.

Test: stream_atMaxOutput_notStoppedForMigration failed in both sections before. lateStream_continuesElsewhere_heldEventsPassedOnFirst made its stream long by the forecast alone; it sets the maximum too, its checks are unchanged.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -65,15 +65,22 @@
   return copies;
 }
 
-std::chrono::milliseconds RemainingDuration(const Request& request, const Upstream& upstream) {
+/// Returns how many tokens a generation is assumed to have still to come; none once it has had the
+/// most that its caller allows.
+std::uint64_t RemainingTokens(const Request& request) {
   const std::uint64_t produced = OutputTokens(request);
   const std::uint64_t forecast =
       request.expected_output_tokens > produced ? request.expected_output_tokens - produced : 0;
-  const std::uint64_t remaining_tokens = std::max(forecast, produced / kMinRemainingDivisor);
+  const std::uint64_t remaining = std::max(forecast, produced / kMinRemainingDivisor);
+  const std::uint64_t maximum = request.head.max_output_tokens;
+  return maximum == 0 ? remaining : std::min(remaining, maximum - std::min(maximum, produced));
+}
+
+std::chrono::milliseconds RemainingDuration(const Request& request, const Upstream& upstream) {
   const double interval =
       upstream.event_interval_s > 0 ? upstream.event_interval_s : kDefaultEventIntervalSeconds;
   const double events =
-      static_cast<double>(remaining_tokens) / static_cast<double>(request.tokens_per_event);
+      static_cast<double>(RemainingTokens(request)) / static_cast<double>(request.tokens_per_event);
   return std::chrono::milliseconds(static_cast<std::int64_t>(events * interval * 1000));
 }
 
@@ -465,6 +472,11 @@
   if (ReplaceTarget(scope, request)) {
     return;
   }
+  if (RemainingTokens(request) == 0) {
+    // Stopped now, it would leave its target nothing to send.
+    ScheduleMigration(scope, request, kMinRemainingDuration / 2);
+    return;
+  }
   // While the links are busy the generation isn't stopped, since it would wait behind other copies.
   // If its engine ends first, the target recomputes what the last round lacks.
   StartCopyRound(scope, request, duration <= kShortCopyRound);
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -465,6 +465,28 @@
   CHECK(EffectsOf<StartCopy>().size() == 1);
 }
 
+// Guards against a generation that is stopped for a migration after its last event: no engine has
+// anything left to send, and the stream counts as truncated.
+TEST_CASE_METHOD(MigrationFixture, "stream_atMaxOutput_notStoppedForMigration", "[entry]") {
+  const std::uint64_t last_event = max_output_tokens / 4;
+  SECTION("before the first copy") {
+    DeliverEvents(send.attempt, last_event);
+    ConfirmStore();
+    MarkLeaving(source);
+    CHECK(EffectsOf<StartCopy>().empty());
+  }
+  SECTION("during a copy") {
+    const StartCopy first = ReceiveTerminationNotice();
+    DeliverEvents(send.attempt, last_event);
+    EndCopy(first, CopyStatus::kCopied, last_event);
+    for (const StartCopy& copy : EffectsOf<StartCopy>()) {
+      CHECK_FALSE(copy.final);
+    }
+  }
+  EndAttempt(send.attempt, AttemptResult::kStreamFinished, 200);
+  CHECK(EffectsOf<FinishStream>().size() == 1);
+}
+
 // Guards against a migration that is aborted and its copy dropped because the engine is busy with
 // an earlier call.
 TEST_CASE_METHOD(MigrationFixture, "copy_engineBusy_retriedForSameTarget", "[entry]") {
--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -475,6 +475,7 @@
     // A short stream isn't moved by itself.
     Request& request = state.requests.at(late);
     request.expected_output_tokens = 4000;
+    request.head.max_output_tokens = 4000;
     AdvanceTime(300ms);
     REQUIRE_FALSE(EffectsOf<StartCopy>().empty());
     EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kCopied, 1);
