Leave a resuming stream alone when its target begins to leave

Callers saw a stream cut, or run a second time: a generation was stopped for a move, and its target's notice came before the first event there. The daemon closed the connection and resumed it again with a copy that had been used; with the target's zone out of service it broke the stream off, or began a resumable one anew.

Cause: a notice schedules a move of each stream at the upstream, and AdvanceMigration() took a stream that is resuming for one that has stopped.

Change: a stream that is resuming is left alone; it is moved once it sends events.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -346,6 +346,9 @@
     return;
   }
   if (request.migration) {
+    if (request.migration->step == MigrationStep::kResuming) {
+      return;  // A target that leaves meanwhile is moved from once it sends events.
+    }
     if (request.migration->is_complete) {
       ResumeAt(scope, request, request.migration->target);
     } else if (request.migration->copy == 0) {
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -487,6 +487,30 @@
   CHECK(EffectsOf<FinishStream>().size() == 1);
 }
 
+// Guards against a stream that is cut, or sent a second time with a used copy, because its target
+// begins to leave before it has sent an event (entry fuzz test, seed 78).
+TEST_CASE_METHOD(MigrationFixture, "resume_targetLeavesBeforeFirstEvent_runContinues", "[entry]") {
+  const UpstreamEntry third = AddUpstream("engine-3", "engines", "zone-c");
+  target = AddUpstream("engine-4", "engines", "zone-b");
+  const StartCopy first = ReceiveTerminationNotice();
+  EndCopy(first, CopyStatus::kCopied, 5);
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kCopied, 5);
+  const Send resumed = EffectsOf<Send>().at(0);
+  target = state.upstreams.at(resumed.upstream).entry;
+  const bool is_evacuated = GENERATE(false, true);
+  if (is_evacuated) {
+    Apply(EvacuationRead{target.zone, true});
+  }
+  MarkLeaving(target);
+  CHECK(EffectsOf<CancelAttempt>().empty());
+  CHECK(EffectsOf<Send>().empty());
+  CHECK(EffectsOf<BreakStream>().empty());
+  REQUIRE(state.requests.count(send.request) == 1);
+  DeliverEvents(resumed.attempt, 6);
+  REQUIRE(EffectsOf<StartCopy>().size() == 1);
+  CHECK(EffectsOf<StartCopy>()[0].source == target.endpoint);
+}
+
 // Guards against a migration that is aborted and its copy dropped because the engine is busy with
 // an earlier call.
 TEST_CASE_METHOD(MigrationFixture, "copy_engineBusy_retriedForSameTarget", "[entry]") {
