Entry fuzz: hosts close no connection of a stream that is waited for

Change: a host that closes the connection on which a sound engine runs a stream, before its time limit and while its caller waits or was cut off, breaks LOST; engines leave one after another, so that targets of moves leave before their first event.

--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -50,6 +50,16 @@
   world.SetRepeatedReplies(false);
 }
 
+/// Engines with running streams leave one after another, so that the target of a move may leave
+/// before it has sent an event.
+void LeaveInTurn(World& world, int first, int second) {
+  LeaveWithStreams(world, first, second);
+  for (int count = 0; count < 8; ++count) {
+    world.Run(milliseconds{10 + second});
+    world.MarkLeaving(first + count, true);
+  }
+}
+
 /// Crashes an engine, sometimes a leaving one, while resumable streams run.
 void CrashWithResumableStreams(World& world, int first, int second) {
   for (int count = 0; count < 4; ++count) {
@@ -103,6 +113,7 @@
       {"requests", 30, RequestMany},
       {"leave under streams", 10, LeaveWithStreams},
       {"leave with faulty copies", 6, LeaveWithFaultyCopies},
+      {"leave in turn", 4, LeaveInTurn},
       {"lose under resumable", 8, CrashWithResumableStreams},
       {"give up", 4, [](World& w, int, int) { w.DisconnectCaller(); }},
       {"kill", 3, [](World& w, int first, int) { w.Kill(first % 3); }},
--- a/test/entry_fuzz/world.h
+++ b/test/entry_fuzz/world.h
@@ -193,6 +193,8 @@
     bool is_refused{false};
     bool is_done{false};
     bool is_served{false};
+    /// Its stream was broken off by its host.
+    bool is_cut{false};
   };
 
   /// A request that runs at an upstream.
@@ -320,6 +322,9 @@
   void ChangeSpeed(FakeUpstream& upstream, int speed);
   /// Notes that a process is about to have the whole response of a job.
   void RecordKnownSpeed(FakeUpstream& upstream, const Job& job);
+  /// Checks that a host closes no connection on which a sound engine runs the stream of a caller
+  /// that waits for it.
+  void CheckMayBeClosed(const FakeUpstream& upstream, const Job& job);
   /// Checks a request that a stopping host ends without the response of an upstream.
   void CheckEndedByStop(const Host& host, CallerId caller, std::string_view how);
   void CompleteCaller(int host, RequestKey request, std::string_view how, int status);
--- a/test/entry_fuzz/world_callers.cc
+++ b/test/entry_fuzz/world_callers.cc
@@ -144,6 +144,7 @@
   }
   caller.is_done = true;
   caller.is_served = status == 200;
+  caller.is_cut = how == "broken";
   if (how == "broken" || (status == 502 && how == "stopping")) {
     CheckEndedByStop(host, id, how);
   }
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -358,12 +358,26 @@
         const bool is_closed =
             job->second.host == number && job->second.incarnation == incarnation &&
             job->second.attempt == attempt && upstream.fault != kDropsConnections;
+        if (is_closed) {
+          CheckMayBeClosed(upstream, job->second);
+        }
         job = is_closed ? upstream.jobs.erase(job) : std::next(job);
       }
     }
   });
 }
 
+void World::CheckMayBeClosed(const FakeUpstream& upstream, const Job& job) {
+  const Caller& caller = callers_.at(job.caller);
+  const Host& host = hosts_[job.host];
+  const bool is_wanted = caller.kind == RouteKind::kStream && (!caller.is_done || caller.is_cut) &&
+                         now_ - caller.sent_at < kTimeout;
+  if (is_wanted && upstream.fault == 0 && host.state && !host.state->is_exiting) {
+    ReportViolation(fmt::format("LOST: {} closes the connection on which {} runs the stream of {}",
+                                host.name, upstream.entry.id, job.caller));
+  }
+}
+
 World::CallConnection World::AcquireConnection(FakeUpstream& upstream,
                                                int number,
                                                int incarnation,
