Mutants: those that didn't apply or survived

- late_retries_are_sent: refusedStream_retryWouldOutliveProcess_refused gave one of its two engines no request before the stop, and in a stop none goes to an engine whose speed is unknown, so that the refusal had another reason.
Both engines serve a stream first now: with the mutant two of its checks fail, without it all pass.

--- a/test/snipeturn/entry/shutdown_test.cc
+++ b/test/snipeturn/entry/shutdown_test.cc
@@ -237,6 +237,8 @@
 
 // Guards against a retry that the process can't await.
 TEST_CASE_METHOD(ShutdownFixture, "refusedStream_retryWouldOutliveProcess_refused", "[entry]") {
+  // The speed of both engines has been seen, without which none gets a request in a stop.
+  ServeStream(800ms, 100ms, 2);
   AddUpstream("engine-2", "engines");
   ServeStream(800ms, 100ms, 2);
   max_output_tokens = 8;
