--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -60,7 +60,7 @@
 # Ports below those that the system gives to outgoing connections. Each process begins with others:
 # soaks that run beside each other would otherwise take a port from each other's daemons.
 PORTS = range(10000, 32000)
-PORTS_OF_PROCESS = 100
+PORTS_OF_PROCESS = 1000
 # Ports already assigned; another daemon may not have bound its port yet.
 ASSIGNED_PORTS = set()
 
