Roll-outs: a bad version of few upstreams is found sooner

Cause: each group of the target may have a fault of its own with a prior of at least 15%, also where none of the old version's groups shows one. Three groups that fail at 40% reach little more than the threshold (logs: 19 of 46 failed, old 0 of 593, score 5.6).

Ruled out: late evidence (the three hosts had scores of 5.4 to 5.6); the killed writer (the verdict came before).

Change: the least share is 8%.

--- a/src/snipeturn/rollout/verdict.cc
+++ b/src/snipeturn/rollout/verdict.cc
@@ -16,7 +16,7 @@
 constexpr double kPriorResponses = 20;
 /// Probability that a group has upstreams that fail for a reason of their own: that of the old
 /// version's groups, within these limits.
-constexpr double kMinFaultyShare = 0.15;
+constexpr double kMinFaultyShare = 0.08;
 constexpr double kMaxFaultyShare = 0.5;
 /// Rates at which such a group fails; each is as likely as the others. The low ones are those of
 /// groups in which one of several upstreams fails.
--- a/test/snipeturn/rollout/verdict_test.cc
+++ b/test/snipeturn/rollout/verdict_test.cc
@@ -144,6 +144,15 @@
   }
 }
 
+// Guards against a bad version of few upstreams that passes for single upstreams which fail
+// (process_rollout_test, world writer_killed_bad: 67 bad responses).
+TEST_CASE_METHOD(VerdictFixture,
+                 "verdict_badVersionOfThreeUpstreams_foundWithinFiftyBadResponses",
+                 "[rollout]") {
+  const Scenario scenario = {"40% more, 3 upstreams", 0.4, 1, false, 0, 0, 3, 1500};
+  CHECK(Run(scenario, 100).within_50 >= 0.95);
+}
+
 // Guards against bad versions beside failing upstreams that are found late; see KNOWN-RED.txt.
 TEST_CASE_METHOD(VerdictFixture,
                  "verdict_badVersions_nineteenOfTwentyWithinFiftyBadResponses",
