--- a/test/process/rollout_test.py
+++ b/test/process/rollout_test.py
@@ -6,11 +6,8 @@
     python3 test/process/rollout_test.py --build build [--worlds sound,bad]
 """
 
-import argparse
 import asyncio
-import concurrent.futures
 import os
-import shutil
 import signal
 import sys
 import tempfile
@@ -20,6 +17,7 @@
 import fakes  # noqa: E402
 import rollouts  # noqa: E402
 import soak  # noqa: E402
+import worlds  # noqa: E402
 
 DAEMONS, CALLERS = 3, 16
 # What callers send, by the service that is rolled out.
@@ -322,38 +320,9 @@
     folder = tempfile.mkdtemp(prefix=f"snipeturn-rollout-{name}-")
     kind, scenario, service = WORLDS[name]
     world = kind(program, folder, name, service)
-    try:
-        await scenario(world)
-    finally:
-        await world.end()
-    if world.failures:
-        world.lines.append(f"logs in {folder}")
-    else:
-        shutil.rmtree(folder, ignore_errors=True)
-    return [f"{name}: {line}" for line in world.lines], not world.failures
-
-
-def run_world_alone(program, name):
-    return asyncio.run(run_world(program, name))
-
-
-def main():
-    """Guards against a bad version that gets too much, and a sound one that isn't rolled out."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", default="build")
-    parser.add_argument("--worlds", default=",".join(WORLDS))
-    options = parser.parse_args()
-    program = os.path.join(options.build, "snipeturn_entry")
-    passed = failed = 0
-    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        runs = [pool.submit(run_world_alone, program, name) for name in options.worlds.split(",")]
-        for run in runs:
-            lines, has_passed = run.result()
-            print("\n".join(lines), flush=True)
-            passed, failed = passed + has_passed, failed + (not has_passed)
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed else 0
+    return await worlds.play(world, scenario(world), folder, name)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # Guards against a bad version that gets too much, and a sound one that isn't rolled out.
+    sys.exit(worlds.main(run_world, WORLDS, WORKERS))
--- a/test/process/store_return_test.py
+++ b/test/process/store_return_test.py
@@ -6,12 +6,9 @@
     python3 test/process/store_return_test.py --build build [--worlds kept_polls,cut_hosts]
 """
 
-import argparse
 import asyncio
 import collections
-import concurrent.futures
 import os
-import shutil
 import signal
 import sys
 import tempfile
@@ -22,6 +19,7 @@
 import fakes  # noqa: E402
 import odd_entries_test  # noqa: E402
 import soak  # noqa: E402
+import worlds  # noqa: E402
 
 # More than the daemons that read the store for the others.
 DAEMONS = 7
@@ -413,45 +411,20 @@
           "unreadable_era": (UnreadableEraWorld, run_two_returns)}
 
 
+async def run_scenario(world, scenario):
+    # The world's start makes the store; upstreams of a scenario come before the daemons.
+    world.store = await world.store_type().start()
+    world.store.era_form = world.era_form
+    await scenario(world)
+
+
 async def run_world(program, name):
     folder = tempfile.mkdtemp(prefix=f"snipeturn-return-{name}-")
     kind, scenario = WORLDS[name]
     world = kind(program, folder)
-    try:
-        # The world's start makes the store; upstreams of a scenario come before the daemons.
-        world.store = await world.store_type().start()
-        world.store.era_form = world.era_form
-        await scenario(world)
-    finally:
-        await world.end()
-    if world.failures:
-        world.lines.append(f"logs in {folder}")
-    else:
-        shutil.rmtree(folder, ignore_errors=True)
-    return [f"{name}: {line}" for line in world.lines], not world.failures
-
-
-def run_world_alone(program, name):
-    return asyncio.run(run_world(program, name))
-
-
-def main():
-    """Guards against decisions by offsets of a log that the store has lost."""
-    parser = argparse.ArgumentParser()
-    parser.add_argument("--build", default="build")
-    parser.add_argument("--worlds", default=",".join(WORLDS))
-    options = parser.parse_args()
-    program = os.path.join(options.build, "snipeturn_entry")
-    passed = failed = 0
-    with concurrent.futures.ProcessPoolExecutor(WORKERS) as pool:
-        runs = [pool.submit(run_world_alone, program, name) for name in options.worlds.split(",")]
-        for run in runs:
-            lines, has_passed = run.result()
-            print("\n".join(lines), flush=True)
-            passed, failed = passed + has_passed, failed + (not has_passed)
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed else 0
+    return await worlds.play(world, run_scenario(world, scenario), folder, name)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    # Guards against decisions by offsets of a log that the store has lost.
+    sys.exit(worlds.main(run_world, WORLDS, WORKERS))
