Migration: only its engine's answer, or that it can't be reached, shows that a run has stopped

Cause: migration.cc took a run for stopped after a failed call if the stream's connection had ended, after three failed calls or 409 and 1.5 s without events, or when a call wasn't sent, and without any call when the connection ended after a copy. None of this is proof: "Most servers drop a request when its channel closes", so some don't, and a server resets channels beyond its max_conns.

Ruled out: reused connections (repeated calls use new ones); a late or doubled answer (one call without an id on a connection).

Change: JudgeRun(), a free function over RunEvidence, says whether a run has stopped. Proof is a 200 or a 503 with a handle to the call that stops it, a 404, a refused connection once the stream's has ended, or three attempts to connect in a row without a response and with nothing heard meanwhile. Else the engine is called again; a run that lives is stopped and moved, so that its caller loses nothing. The client tells a refused and an unanswered attempt to connect from a request that wasn't sent for another reason.

Tests: the table of JudgeRun; stopCall_neverAnswered_notResumed, stopCall_connectionResetUnwritten, stopCall_eventsAfterUnknownRun and stream_connectionEndsDuringCopy fail before.

Tests that asked for the fault are replaced by stricter ones: stopCall_neverAnsweredInSilence_resumed and stopCall_engineBusyInSilence_resumedFromEarlierCopy wanted the stream to go on after 1.5 s of silence, and two sections of stopCall_resetBetweenEvents_notResumed after the connection's end or silence. What they guard against, a wait without bound for an engine that is gone, is now stopCall_engineUnreachable_resumed; one that answers 409 is called until it has finished. In four tests a lost source now refuses connections, where a call without an answer stood for it.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -55,6 +55,7 @@
 inline constexpr LogEvent kMoveCopied{842, "move_copied", LogLevel::kInfo};
 inline constexpr LogEvent kMoveResumed{843, "move_resumed", LogLevel::kInfo};
 inline constexpr LogEvent kMoveFailed{844, "move_failed", LogLevel::kWarning};
+inline constexpr LogEvent kRunStopped{846, "run_stopped", LogLevel::kInfo};
 
 inline constexpr LogEvent kAttemptLostUnstarted{851, "attempt_lost_unstarted", LogLevel::kWarning};
 inline constexpr LogEvent kPartsQuarantined{852, "parts_quarantined", LogLevel::kWarning};
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -111,8 +111,12 @@
   kNoRoom,
   /// No response: the copy may have been made.
   kNoAnswer,
-  /// The call didn't reach the engine.
+  /// The call was never sent: its connection ended before, or this host couldn't open one.
   kUnsent,
+  /// The engine's host refused the connection.
+  kConnectionRefused,
+  /// The attempt to connect got no response.
+  kUnreachable,
 };
 
 /// @brief Name of a copy's result in log lines.
@@ -130,10 +134,20 @@
       return "no_answer";
     case CopyStatus::kUnsent:
       return "unsent";
+    case CopyStatus::kConnectionRefused:
+      return "connection_refused";
+    case CopyStatus::kUnreachable:
+      return "unreachable";
   }
   return "";
 }
 
+/// @brief Tells whether a copy call ended without a response of the engine.
+[[nodiscard]] constexpr bool IsUnanswered(CopyStatus status) noexcept {
+  return status == CopyStatus::kNoAnswer || status == CopyStatus::kUnsent ||
+         status == CopyStatus::kConnectionRefused || status == CopyStatus::kUnreachable;
+}
+
 struct CopyEnded {
   RequestKey request{0};
   std::uint64_t copy{0};
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -36,13 +36,6 @@
 constexpr std::uint64_t kMinRemainingDivisor = 4;
 /// Assumed time between events before the first sample of an upstream.
 constexpr double kDefaultEventIntervalSeconds = 0.04;
-/// Calls of one migration that may get no response until a generation that sends nothing any more
-/// is taken for stopped: one for a dropped connection, the others for a link that loses data.
-constexpr int kMaxUnansweredCalls = 3;
-/// Time without events after which a generation goes on from an earlier copy although its engine is
-/// still making the last one, or answered no call to stop it. Callers abandon a stream after two
-/// seconds or more without events.
-constexpr std::chrono::milliseconds kMaxStoppedTime{1500};
 /// Resume attempts that engines may refuse before the migration is given up.
 constexpr int kMaxRefusedResumes = 3;
 /// An engine that sent a response or an event within this time is considered alive.
@@ -100,13 +93,10 @@
   migration.copy = scope.state.next_copy++;
   migration.call_began = scope.now;
   migration.rounds += 1;
-  if (final && migration.step != MigrationStep::kStopping) {
-    migration.stop_began = scope.now;
-  }
   migration.step = final ? MigrationStep::kStopping : MigrationStep::kCopying;
   scope.effects.push_back(StartCopy{request.key, migration.copy, migration.source,
                                     migration.source_endpoint, migration.target_endpoint, final,
-                                    migration.unanswered_calls > 0});
+                                    migration.evidence.unanswered_calls > 0});
 }
 
 /// Drops copy and attempts of a migrating stream whose generation is lost, then retries or breaks
@@ -177,7 +167,7 @@
                   request.migration->source, request.migration->target, reason,
                   request.migration->rounds, request.events));
   IncrementCounter(scope, kEntryMoves, reason);
-  const bool has_source_ended = request.migration->has_source_ended;
+  const bool has_source_ended = request.migration->evidence.has_connection_ended;
   if (!request.migration->handle.empty() && !has_source_ended) {
     scope.effects.push_back(DropCopy{request.migration->source, request.migration->source_endpoint,
                                      request.migration->handle});
@@ -198,8 +188,8 @@
                           IsServing(scope.state, target->second) &&
                           !IsVersionClosed(scope.state, target->second) &&
                           !backpressure::IsPaused(target->second.pause, scope.now);
-  if (wants_work || migration.step != MigrationStep::kCopying || migration.has_source_ended ||
-      source == scope.state.upstreams.end() ||
+  if (wants_work || migration.step != MigrationStep::kCopying ||
+      migration.evidence.has_connection_ended || source == scope.state.upstreams.end() ||
       PlaceMigration(scope.state, request, source->second, scope.now).result !=
           PlacementResult::kPlaced) {
     return false;
@@ -215,77 +205,71 @@
   return true;
 }
 
-/// Continues at the target a generation that has stopped: at once if the caller has its last
-/// events, else when its connection ends or they are overdue.
-void ResumeAfterLastEvents(EventScope& scope, Request& request, bool has_last_events) {
-  Migration& migration = *request.migration;
-  migration.is_complete = true;
-  if (migration.has_source_ended || has_last_events) {
-    ResumeAt(scope, request, migration.target);
-  } else {
-    ScheduleMigration(scope, request, kLastEventsTimeout);
-  }
+/// Returns what is known of the generation at the source of a migration.
+RunEvidence CollectEvidence(const EventScope& scope, const Request& request) {
+  const Migration& migration = *request.migration;
+  RunEvidence evidence = migration.evidence;
+  evidence.silence =
+      ToMilliseconds(scope.now - std::max(request.last_event_at, request.migration->began));
+  const auto source = scope.state.upstreams.find(migration.source);
+  evidence.is_listed = source != scope.state.upstreams.end() && !source->second.was_unlisted;
+  return evidence;
 }
 
-/// Calls again to stop a generation, whose engine may not have got the call before. A generation
-/// that goes on elsewhere while it runs here would be worked on twice.
-void RepeatStopCall(EventScope& scope, Request& request, CopyStatus status) {
-  Migration& migration = *request.migration;
-  const bool is_source_gone = migration.has_source_ended && status == CopyStatus::kUnsent;
-  // Calls can fail faster than events come.
-  const bool may_send_events =
-      !migration.has_source_ended &&
-      scope.now - std::max(request.last_event_at, migration.stop_began) <= kMaxStoppedTime;
-  if (is_source_gone || (migration.unanswered_calls >= kMaxUnansweredCalls && !may_send_events)) {
-    ResumeAt(scope, request, migration.target);
+/// Continues a stream whose generation has stopped from its copy; without one, drops the migration.
+void ContinueStopped(EventScope& scope, Request& request, RunState state) {
+  const Migration& migration = *request.migration;
+  const RunEvidence evidence = CollectEvidence(scope, request);
+  Log(scope, log_events::kRunStopped,
+      fmt::format("id={} source={} state={} disconnected={} unanswered={} silence_ms={} listed={}",
+                  request.head.id, migration.source, ToString(state), evidence.has_connection_ended,
+                  evidence.unanswered_calls, evidence.silence.count(), evidence.is_listed));
+  if (migration.handle.empty()) {
+    AbortMigration(scope, request, "source_lost");
     return;
   }
-  ScheduleMigration(scope, request, status == CopyStatus::kUnsent ? kRetryDelay : kBusyRetryDelay);
+  // An engine that stopped the generation without room at the target still has its memory.
+  const bool is_at_source = evidence.answer == RunAnswer::kStopped && !migration.is_complete;
+  ResumeAt(
+      scope, request,
+      is_at_source && MayResumeAt(scope, migration.source) ? migration.source : migration.target);
 }
 
-/// Calls again to stop a generation whose engine didn't do so, or hasn't finished, unless nothing
-/// has come from it for long.
-void WaitForStop(EventScope& scope, Request& request) {
-  if (scope.now - request.last_event_at > kMaxStoppedTime) {
-    ResumeAt(scope, request, request.migration->target);
+/// Continues a generation elsewhere if it is known to have stopped, else calls to stop it after a
+/// delay. One that goes on elsewhere while it runs here would be worked on twice.
+void ContinueOrStop(EventScope& scope, Request& request, std::chrono::milliseconds delay) {
+  const RunState state = JudgeRun(CollectEvidence(scope, request));
+  if (state == RunState::kMayRun) {
+    ScheduleMigration(scope, request, delay);
   } else {
-    ScheduleMigration(scope, request, kBusyRetryDelay);
+    ContinueStopped(scope, request, state);
   }
 }
 
-/// Handles the end of the call that stops the generation and copies the rest of its memory.
-void HandleStopCallEnd(EventScope& scope, Request& request, const CopyEnded& event) {
-  Migration& migration = *request.migration;
-  if (migration.handle.empty()) {
-    AbortMigration(scope, request, "no_handle");
-    return;
+/// Delay until a call is made again.
+std::chrono::milliseconds RetryDelayAfter(CopyStatus status) noexcept {
+  if (status == CopyStatus::kCopied) {
+    return std::chrono::milliseconds{0};
   }
-  switch (event.status) {
-    case CopyStatus::kCopied:
-      ResumeAfterLastEvents(scope, request, request.events >= event.events);
-      return;
-    case CopyStatus::kUnknownRun:
-      ResumeAfterLastEvents(scope, request, false);
-      return;
-    case CopyStatus::kNoRoom:
-      if (event.handle.empty()) {
-        // An engine that has stopped the generation names the handle of its memory. This one turned
-        // the call away, as it turns requests away that it doesn't run.
-        WaitForStop(scope, request);
-        return;
-      }
-      // The generation has stopped. The source still has its memory, and the target that of the
-      // earlier rounds.
-      ResumeAt(scope, request,
-               MayResumeAt(scope, migration.source) ? migration.source : migration.target);
-      return;
-    case CopyStatus::kBusy:
-      WaitForStop(scope, request);
-      return;
-    case CopyStatus::kNoAnswer:
-    case CopyStatus::kUnsent:
-      RepeatStopCall(scope, request, event.status);
-      return;
+  const bool is_unsent = IsUnanswered(status) && status != CopyStatus::kNoAnswer;
+  return is_unsent ? kRetryDelay : kBusyRetryDelay;
+}
+
+/// Continues a generation that has stopped as a call ended: at once if no event is still to come,
+/// else when its connection ends or the last events are overdue.
+void HandleStop(EventScope& scope, Request& request, const CopyEnded& event, RunState state) {
+  Migration& migration = *request.migration;
+  migration.is_complete = event.status == CopyStatus::kCopied;
+  const bool has_last_events =
+      event.status == CopyStatus::kCopied && request.events >= event.events;
+  const bool awaits_events =
+      !migration.evidence.has_connection_ended && !has_last_events &&
+      (event.status == CopyStatus::kCopied || event.status == CopyStatus::kUnknownRun);
+  if (awaits_events) {
+    migration.step = MigrationStep::kStopping;
+    ScheduleMigration(scope, request, kLastEventsTimeout);
+  } else {
+    ContinueStopped(scope, request, state);
   }
 }
 
@@ -349,10 +333,14 @@
     if (request.migration->step == MigrationStep::kResuming) {
       return;  // A target that leaves meanwhile is moved from once it sends events.
     }
-    if (request.migration->is_complete) {
-      ResumeAt(scope, request, request.migration->target);
+    const RunState state = JudgeRun(CollectEvidence(scope, request));
+    if (state != RunState::kMayRun) {
+      ContinueStopped(scope, request, state);
     } else if (request.migration->copy == 0) {
-      StartCopyRound(scope, request, request.migration->step == MigrationStep::kStopping);
+      // An engine may work on when its connection ends.
+      StartCopyRound(scope, request,
+                     request.migration->step == MigrationStep::kStopping ||
+                         request.migration->evidence.has_connection_ended);
     }
     return;
   }
@@ -431,33 +419,28 @@
                   migration.step == MigrationStep::kStopping, ToString(event.status),
                   duration.count(), event.events, request.events));
   migration.copy = 0;
-  const bool is_unanswered =
-      event.status == CopyStatus::kNoAnswer || event.status == CopyStatus::kUnsent;
-  migration.unanswered_calls += is_unanswered ? 1 : 0;
-  const bool has_stopped_nothing = event.status == CopyStatus::kBusy ||
-                                   event.status == CopyStatus::kUnknownRun ||
-                                   event.status == CopyStatus::kUnsent;
+  const bool is_stop = migration.step == MigrationStep::kStopping;
+  const bool has_stopped_nothing =
+      event.status == CopyStatus::kBusy || event.status == CopyStatus::kUnknownRun ||
+      (IsUnanswered(event.status) && event.status != CopyStatus::kNoAnswer);
   if (Attempt* attempt = SourceAttempt(request);
-      migration.step == MigrationStep::kStopping && has_stopped_nothing && attempt != nullptr) {
+      is_stop && has_stopped_nothing && attempt != nullptr) {
     attempt->stop_calls -= 1;
   }
-  if (migration.step == MigrationStep::kStopping) {
-    HandleStopCallEnd(scope, request, event);
-    return;
-  }
-  if (event.status == CopyStatus::kBusy) {
-    ScheduleMigration(scope, request, kBusyRetryDelay);
+  RecordCallEnd(migration.evidence, event, is_stop);
+  const RunState run_state = JudgeRun(migration.evidence);
+  const bool is_source_open = !migration.evidence.has_connection_ended;
+  if (run_state != RunState::kMayRun && (!migration.handle.empty() || !is_source_open)) {
+    HandleStop(scope, request, event, run_state);
     return;
   }
-  if (migration.has_source_ended && !migration.handle.empty()) {
-    // The source is gone; the target recomputes what the copy lacks.
-    ResumeAt(scope, request, migration.target);
+  // A copy that got no response is made again, as the target has that of an earlier round.
+  const bool is_repeated = IsUnanswered(event.status) && !migration.handle.empty();
+  if (is_stop || !is_source_open || is_repeated) {
+    ScheduleMigration(scope, request, RetryDelayAfter(event.status));
     return;
   }
-  const bool is_source_gone = is_unanswered || event.status == CopyStatus::kUnknownRun;
-  if (is_source_gone && !migration.handle.empty()) {
-    // The source's connection is about to end; the stream then resumes from the earlier round's
-    // copy.
+  if (event.status == CopyStatus::kBusy) {
     ScheduleMigration(scope, request, kBusyRetryDelay);
     return;
   }
@@ -496,12 +479,9 @@
   }
   Migration& migration = *request.migration;
   if (!attempt.is_resume || migration.step != MigrationStep::kResuming) {
-    migration.has_source_ended = true;
-    const bool is_copying = migration.copy != 0;
-    if (migration.is_complete || (!is_copying && !migration.handle.empty())) {
-      ResumeAt(scope, request, migration.target);
-    } else if (!is_copying) {
-      AbortMigration(scope, request, "source_lost");
+    migration.evidence.has_connection_ended = true;
+    if (migration.copy == 0) {
+      ContinueOrStop(scope, request, std::chrono::milliseconds{0});
     }
     return;
   }
@@ -515,8 +495,9 @@
     return;
   }
   const bool was_target = attempt.upstream == migration.target;
-  const bool returns_to_source =
-      was_target && event.result != AttemptResult::kUnsent && MayResumeAt(scope, migration.source);
+  const bool returns_to_source = was_target && event.result != AttemptResult::kUnsent &&
+                                 migration.evidence.answer == RunAnswer::kStopped &&
+                                 MayResumeAt(scope, migration.source);
   ResumeAt(scope, request, returns_to_source ? migration.source : migration.target);
 }
 
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -308,6 +308,9 @@
     request.first_event = request.events;
   }
   request.last_event_at = scope.now;
+  if (request.migration && attempt->upstream == request.migration->source) {
+    RecordEvent(request.migration->evidence);
+  }
   if (!MustArriveWhole(scope, request)) {
     RelayStream(scope, request, *attempt);
   } else if (is_first) {
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -10,6 +10,7 @@
 #include "snipeturn/base/time.h"
 #include "snipeturn/entry/effect.h"
 #include "snipeturn/entry/event.h"
+#include "snipeturn/entry/run_evidence.h"
 
 namespace snipeturn::entry {
 
@@ -55,7 +56,8 @@
   kResuming,
 };
 
-/// The live migration of a running generation to another engine.
+/// The live migration of a running generation to another engine, also of one whose stream was lost
+/// and that may still run.
 struct Migration {
   MigrationStep step{MigrationStep::kCopying};
   /// Number of the copy call in flight; 0 when there is none.
@@ -68,16 +70,12 @@
   Endpoint target_endpoint;
   /// Number of copy calls made so far.
   int rounds{0};
-  /// Number of them that got no response.
-  int unanswered_calls{0};
   TimePoint began{};
   TimePoint call_began{};
-  /// When the first call to stop the generation began.
-  TimePoint stop_began{};
   /// Handle of the copy, once the source has returned one.
   std::string handle;
-  /// The source's connection has ended.
-  bool has_source_ended{false};
+  /// Signs of whether the generation still runs at the source.
+  RunEvidence evidence{};
   /// Number of resumes that an engine refused.
   int refused_resumes{0};
 };
--- a/src/snipeturn/loop/entry_calls.cc
+++ b/src/snipeturn/loop/entry_calls.cc
@@ -21,6 +21,22 @@
 constexpr std::chrono::milliseconds kDropTimeout{1000};
 constexpr std::chrono::milliseconds kReportTimeout{500};
 
+/// Returns the status of a copy call that got no complete response.
+entry::CopyStatus UnansweredCopyStatus(ExchangeResult result) noexcept {
+  switch (result) {
+    case ExchangeResult::kUnsent:
+      return entry::CopyStatus::kUnsent;
+    case ExchangeResult::kConnectionRefused:
+      return entry::CopyStatus::kConnectionRefused;
+    case ExchangeResult::kUnreachable:
+      return entry::CopyStatus::kUnreachable;
+    case ExchangeResult::kComplete:
+    case ExchangeResult::kBroken:
+      break;
+  }
+  return entry::CopyStatus::kNoAnswer;
+}
+
 }  // namespace
 }  // namespace internal
 
@@ -37,8 +53,8 @@
                  entry::CopyEnded ended;
                  if (result == ExchangeResult::kComplete) {
                    ended = codec_.decode_copy_response(status, body);
-                 } else if (result == ExchangeResult::kUnsent) {
-                   ended.status = entry::CopyStatus::kUnsent;
+                 } else {
+                   ended.status = internal::UnansweredCopyStatus(result);
                  }
                  ended.request = key;
                  ended.copy = copy_number;
--- a/src/snipeturn/loop/entry_exchanges.cc
+++ b/src/snipeturn/loop/entry_exchanges.cc
@@ -284,6 +284,8 @@
   ended.is_disconnected = reason.rfind(kDisconnected, 0) == 0;
   switch (result) {
     case ExchangeResult::kUnsent:
+    case ExchangeResult::kConnectionRefused:
+    case ExchangeResult::kUnreachable:
       ended.result = entry::AttemptResult::kUnsent;
       break;
     case ExchangeResult::kBroken:
--- a/src/snipeturn/loop/http_client.cc
+++ b/src/snipeturn/loop/http_client.cc
@@ -64,6 +64,18 @@
   return status < kFirstFinal ? StatusKind::kInterim : StatusKind::kFinal;
 }
 
+/// Classifies a failed attempt to connect. Errors of this host, as a lack of descriptors, say
+/// nothing about the server.
+ExchangeResult ClassifyConnectError(const boost::system::error_code& error) noexcept {
+  if (error == boost::asio::error::connection_refused) {
+    return ExchangeResult::kConnectionRefused;
+  }
+  const bool is_unanswered = error == boost::asio::error::timed_out ||
+                             error == boost::asio::error::host_unreachable ||
+                             error == boost::asio::error::network_unreachable;
+  return is_unanswered ? ExchangeResult::kUnreachable : ExchangeResult::kUnsent;
+}
+
 std::string UnboundedResponse(std::string_view what) {
   return fmt::format("{}: {}", kUnboundedResponse, what);
 }
@@ -180,7 +192,7 @@
   timer->expires_after(exchange->call.connect_timeout);
   timer->async_wait([this, exchange, socket](const boost::system::error_code& timer_error) {
     if (!timer_error && !exchange->is_finished && exchange->connecting_socket == socket) {
-      FinishExchange(exchange, ExchangeResult::kUnsent, "connect timeout");
+      FinishExchange(exchange, ExchangeResult::kUnreachable, "connect timeout");
     }
   });
   const boost::asio::ip::tcp::endpoint endpoint(
@@ -193,7 +205,8 @@
         }
         exchange->connecting_socket.reset();
         if (connect_error) {
-          FinishExchange(exchange, ExchangeResult::kUnsent, connect_error.message());
+          FinishExchange(exchange, internal::ClassifyConnectError(connect_error),
+                         connect_error.message());
           return;
         }
         ++opened_connections_;
--- a/src/snipeturn/loop/http_client.h
+++ b/src/snipeturn/loop/http_client.h
@@ -23,10 +23,20 @@
   kComplete,
   /// No byte of the request left this host.
   kUnsent,
+  /// As `kUnsent`, since the server's host refused the connection.
+  kConnectionRefused,
+  /// As `kUnsent`, since the attempt to connect got no response.
+  kUnreachable,
   /// At least a part was sent, and no complete response was received.
   kBroken,
 };
 
+/// @brief Tells whether no byte of an exchange's request left this host.
+[[nodiscard]] constexpr bool IsUnsent(ExchangeResult result) noexcept {
+  return result == ExchangeResult::kUnsent || result == ExchangeResult::kConnectionRefused ||
+         result == ExchangeResult::kUnreachable;
+}
+
 /// Prefix of the reason with which an exchange ends whose response exceeds a size limit.
 inline constexpr std::string_view kUnboundedResponse = "unbounded response";
 
--- a/test/entry_fuzz/fuzz_main.cc
+++ b/test/entry_fuzz/fuzz_main.cc
@@ -41,6 +41,21 @@
   world.SetEngineFaults(0);
 }
 
+/// Moves generations from engines that work on when their streams close, and whose calls fail: 9 to
+/// 12. Some streams may be resumed.
+void LeaveWorkingOn(World& world, int first, int second) {
+  world.SetEngineFaults(9 + first % 4);
+  for (int count = 0; count < 3; ++count) {
+    world.RequestResumable((first + count) % 3, static_cast<std::uint64_t>(second % 4));
+  }
+  LeaveWithStreams(world, first, second);
+  world.Run(milliseconds{400 + second * 60});
+  if (second % 3 == 0) {
+    world.Crash(first);
+  }
+  world.SetEngineFaults(0);
+}
+
 /// Moves generations from engines that send replies to copy calls a second time, late.
 void LeaveWithRepeatedReplies(World& world, int first, int second) {
   world.SetRepeatedReplies(true);
@@ -159,6 +174,7 @@
        }},
       {"end a pause", 6, [](World& w, int first, int) { w.SetPause(first, milliseconds{0}); }},
       {"leave with repeated replies", 4, LeaveWithRepeatedReplies},
+      {"leave working on", 6, LeaveWorkingOn},
   };
   return kActions;
 }
--- a/test/entry_fuzz/world_work.cc
+++ b/test/entry_fuzz/world_work.cc
@@ -27,8 +27,24 @@
 constexpr int kRefusesLastCopy = 7;
 /// Its copies wait for others, so that moves last for seconds.
 constexpr int kCopiesSlowly = 8;
+/// Resets half of the calls about generations unread.
+constexpr int kResetsCalls = 9;
+/// Turns half of these calls away.
+constexpr int kTurnsCallsAway = 10;
+/// Resets the connection of a stream when it gets a call about it, and turns half of the calls
+/// away.
+constexpr int kResetsStreams = 11;
+/// Makes no events, and resets half of the calls unread.
+constexpr int kStalls = 12;
 /// Time by which the reply to a copy call may overtake the end of the stream that it stopped.
 constexpr milliseconds kLateStreamEnd{200};
+/// Time after which an engine that stalls tries to make its next event again.
+constexpr milliseconds kStallInterval{100};
+
+/// Tells whether an upstream works on when the connection of a stream closes.
+bool WorksOn(int fault) noexcept {
+  return fault == kDropsConnections || fault >= kResetsCalls;
+}
 
 }  // namespace
 
@@ -310,6 +326,11 @@
   if (upstream.entry.start_time_ms != start_time_ms || found == upstream.jobs.end()) {
     return;
   }
+  if (upstream.fault == kStalls) {
+    ScheduleAfter(kStallInterval,
+                  [this, id, start_time_ms, key] { ProduceEvent(id, start_time_ms, key); });
+    return;
+  }
   Job& job = found->second;
   const std::uint64_t length = callers_.at(job.caller).length;
   job.events = std::min(length, job.events + 1);
@@ -355,9 +376,9 @@
   ScheduleAfter(Delay(), [this, number, incarnation, attempt] {
     for (auto& [id, upstream] : upstreams_) {
       for (auto job = upstream.jobs.begin(); job != upstream.jobs.end();) {
-        const bool is_closed =
-            job->second.host == number && job->second.incarnation == incarnation &&
-            job->second.attempt == attempt && upstream.fault != kDropsConnections;
+        const bool is_closed = job->second.host == number &&
+                               job->second.incarnation == incarnation &&
+                               job->second.attempt == attempt && !WorksOn(upstream.fault);
         if (is_closed) {
           CheckMayBeClosed(upstream, job->second);
         }
@@ -402,8 +423,11 @@
   microseconds reply_delay = milliseconds{30 + Random(60)};
   FakeUpstream* source = UpstreamAt(call.source);
   if (source == nullptr || source->entry.id != call.source_id) {
-    ended.status = source == nullptr ? CopyStatus::kNoAnswer : CopyStatus::kUnknownRun;
-    reply_delay = source == nullptr ? milliseconds{500} : reply_delay;
+    const bool is_host_gone = call.source.port % 2 == 0;
+    ended.status = source != nullptr ? CopyStatus::kUnknownRun
+                   : is_host_gone    ? CopyStatus::kUnreachable
+                                     : CopyStatus::kConnectionRefused;
+    reply_delay = source != nullptr ? reply_delay : milliseconds{is_host_gone ? 300 : 1};
   } else {
     if (source->fault == kCopiesSlowly) {
       reply_delay = milliseconds{300 + Random(600)};
@@ -412,7 +436,16 @@
       return entry.second.host == number && entry.second.incarnation == incarnation &&
              callers_.at(entry.second.caller).request == call.request;
     });
-    if (source->fault == kDropsConnections && call.final && !call.needs_new_connection) {
+    if (source->fault == kResetsStreams && job != source->jobs.end()) {
+      EndAttempt(number, incarnation, job->second.attempt, AttemptResult::kBroken, 200);
+    }
+    const bool fails_calls = source->fault >= kResetsCalls && Random(2) == 0;
+    if (fails_calls) {
+      const bool is_turned_away =
+          source->fault == kTurnsCallsAway || source->fault == kResetsStreams;
+      ended.status = is_turned_away ? CopyStatus::kNoRoom : CopyStatus::kNoAnswer;
+      reply_delay = milliseconds{1};
+    } else if (source->fault == kDropsConnections && call.final && !call.needs_new_connection) {
       ended.status = CopyStatus::kNoAnswer;
     } else if (job == source->jobs.end()) {
       ended.status = CopyStatus::kUnknownRun;
@@ -445,7 +478,7 @@
       }
     }
   }
-  if (source != nullptr && ended.status != CopyStatus::kNoAnswer) {
+  if (!IsUnanswered(ended.status)) {
     CallConnection connection =
         AcquireConnection(*source, number, incarnation, call.needs_new_connection);
     if (connection.late_reply) {
--- a/test/snipeturn/entry/migration_test.cc
+++ b/test/snipeturn/entry/migration_test.cc
@@ -103,7 +103,7 @@
     copy = EffectsOf<StartCopy>()[0];
   }
   EndAttempt(send.attempt, AttemptResult::kBroken);
-  EndCopy(copy, CopyStatus::kNoAnswer);
+  EndCopy(copy, CopyStatus::kConnectionRefused);
   CHECK(EffectsOf<Send>().empty());
   CHECK(EffectsOf<BreakStream>().size() == 1);
 }
@@ -278,6 +278,8 @@
   TurnCopyAway(last);
   EndWithConnection(send.attempt);
   CHECK(EffectsOf<FinishStream>().empty());
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kUnknownRun);
+  CHECK(EffectsOf<FinishStream>().empty());
   CHECK(EffectsOf<BreakStream>().size() == 1);
 }
 
@@ -308,7 +310,8 @@
 // Guards against a generation that goes on elsewhere while its engine, which never got the call to
 // stop it, still works on it: the call was reset unread on a kept connection (review/2).
 TEST_CASE_METHOD(MigrationFixture, "stopCall_unanswered_repeatedBeforeResume", "[entry]") {
-  const CopyStatus status = GENERATE(CopyStatus::kNoAnswer, CopyStatus::kUnsent);
+  const CopyStatus status = GENERATE(CopyStatus::kNoAnswer, CopyStatus::kUnsent,
+                                     CopyStatus::kConnectionRefused, CopyStatus::kUnreachable);
   EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
   const StartCopy last = EffectsOf<StartCopy>().at(0);
   REQUIRE(last.final);
@@ -344,7 +347,7 @@
     call = EffectsOf<StartCopy>()[0];
   }
   EndAttempt(send.attempt, AttemptResult::kBroken);
-  EndCopy(call, CopyStatus::kUnsent);
+  EndCopy(call, CopyStatus::kConnectionRefused);
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
 }
@@ -373,68 +376,115 @@
 }
 
 // Guards against a stream that waits without bound for an engine that can't be reached any more.
-TEST_CASE_METHOD(MigrationFixture, "stopCall_neverAnsweredInSilence_resumed", "[entry]") {
+TEST_CASE_METHOD(MigrationFixture, "stopCall_engineUnreachable_resumed", "[entry]") {
   EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
   StartCopy call = EffectsOf<StartCopy>().at(0);
-  for (int round = 1; round <= 2; ++round) {
-    now += 700ms;
-    EndCopy(call, CopyStatus::kNoAnswer);
-    CHECK(EffectsOf<Send>().empty());
-    AdvanceTime(70ms);
-    call = EffectsOf<StartCopy>().at(0);
+  SECTION("its host refuses connections and the stream has ended") {
+    EndAttempt(send.attempt, AttemptResult::kBroken);
+    EndCopy(call, CopyStatus::kConnectionRefused);
+  }
+  SECTION("no attempt to connect gets a response") {
+    for (int round = 1; round <= 2; ++round) {
+      now += 300ms;
+      EndCopy(call, CopyStatus::kUnreachable);
+      CHECK(EffectsOf<Send>().empty());
+      AdvanceTime(70ms);
+      call = EffectsOf<StartCopy>().at(0);
+    }
+    EndCopy(call, CopyStatus::kUnreachable);
   }
-  EndCopy(call, CopyStatus::kNoAnswer);
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
 }
 
 // Guards against a generation that is taken for stopped because calls to stop it were reset one
-// after another, faster than its events come (review/8).
-TEST_CASE_METHOD(MigrationFixture, "stopCall_resetBetweenEvents_notResumed", "[entry]") {
+// after another, faster than its events come (review/8), or because its stream ended or was silent
+// meanwhile: some engines work on.
+TEST_CASE_METHOD(MigrationFixture, "stopCall_neverAnswered_notResumed", "[entry]") {
+  const CopyStatus status = GENERATE(CopyStatus::kNoAnswer, CopyStatus::kUnsent, CopyStatus::kBusy);
+  const auto fails_after = GENERATE(1ms, 700ms);
+  const bool is_cut = GENERATE(false, true);
+  const bool is_silent = GENERATE(false, true);
   EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
   StartCopy call = EffectsOf<StartCopy>().at(0);
+  if (is_cut) {
+    EndAttempt(send.attempt, AttemptResult::kBroken);
+    CHECK(EffectsOf<Send>().empty());
+  }
   for (std::uint64_t round = 1; round <= 12; ++round) {
-    now += 1ms;
-    EndCopy(call, CopyStatus::kNoAnswer);
+    now += fails_after;
+    EndCopy(call, status);
     CHECK(EffectsOf<Send>().empty());
-    if (round % 4 == 0) {
+    if (!is_cut && !is_silent && round % 4 == 0) {
       DeliverEvents(send.attempt, 5 + round);
     }
-    AdvanceTime(40ms);
+    AdvanceTime(70ms);
     CHECK(EffectsOf<Send>().empty());
     REQUIRE(EffectsOf<StartCopy>().size() == 1);
     call = EffectsOf<StartCopy>()[0];
+    CHECK(call.final);
+    CHECK(call.target == target.endpoint);
   }
-  SECTION("until its connection ends") {
-    EndAttempt(send.attempt, AttemptResult::kBroken);
-    EndCopy(call, CopyStatus::kNoAnswer);
-  }
-  SECTION("until nothing comes for long") {
-    now += 1600ms;
-    EndCopy(call, CopyStatus::kNoAnswer);
-  }
+  EndCopy(call, CopyStatus::kCopied, state.requests.at(send.request).events);
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
 }
 
-// Guards against a stream that waits without bound for its last copy, which its engine is making
-// although the response to the call was lost.
+// Guards against a generation that goes on elsewhere while its engine works on it: the stream's
+// connection ended during a copy, before any call to stop the generation (rule TWICE).
 TEST_CASE_METHOD(MigrationFixture,
-                 "stopCall_engineBusyInSilence_resumedFromEarlierCopy",
+                 "stream_connectionEndsDuringCopy_stoppedBeforeResume",
                  "[entry]") {
-  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
-  StartCopy call = EffectsOf<StartCopy>().at(0);
-  EndCopy(call, CopyStatus::kNoAnswer);
-  AdvanceTime(50ms);
-  call = EffectsOf<StartCopy>().at(0);
-  EndCopy(call, CopyStatus::kBusy);
+  const bool has_earlier_copy = GENERATE(true, false);
+  StartCopy copy = ReceiveTerminationNotice();
+  if (has_earlier_copy) {
+    now += 300ms;
+    EndCopy(copy, CopyStatus::kCopied, 5);
+    copy = EffectsOf<StartCopy>().at(0);
+  }
+  REQUIRE_FALSE(copy.final);
+  EndAttempt(send.attempt, AttemptResult::kBroken);
+  const CopyStatus status =
+      GENERATE(CopyStatus::kCopied, CopyStatus::kNoAnswer, CopyStatus::kBusy, CopyStatus::kNoRoom);
+  EndCopy(copy, status, 6);
   CHECK(EffectsOf<Send>().empty());
-  AdvanceTime(50ms);
-  call = EffectsOf<StartCopy>().at(0);
-  now += 2s;
-  EndCopy(call, CopyStatus::kBusy);
+  CHECK(EffectsOf<BreakStream>().empty());
+  if (EffectsOf<StartCopy>().empty()) {
+    AdvanceTime(70ms);
+  }
+  REQUIRE(EffectsOf<StartCopy>().size() == 1);
+  const StartCopy stop = EffectsOf<StartCopy>()[0];
+  CHECK(stop.final);
+  EndCopy(stop, CopyStatus::kCopied, 7);
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].upstream == "engine-2");
+  CHECK(EffectsOf<Send>()[0].resume);
+}
+
+// Guards against an engine that is taken for gone because it resets connections before a call is
+// written, as one does that has all the connections it accepts.
+TEST_CASE_METHOD(MigrationFixture, "stopCall_connectionResetUnwritten_notResumed", "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
+  const StartCopy call = EffectsOf<StartCopy>().at(0);
+  EndAttempt(send.attempt, AttemptResult::kBroken);
+  EndCopy(call, CopyStatus::kUnsent);
+  CHECK(EffectsOf<Send>().empty());
+  AdvanceTime(70ms);
+  CHECK(EffectsOf<Send>().empty());
+  CHECK(EffectsOf<StartCopy>().size() == 1);
+}
+
+// Guards against a generation that goes on elsewhere although its engine sends events of it after
+// it said that it doesn't have it.
+TEST_CASE_METHOD(MigrationFixture, "stopCall_eventsAfterUnknownRun_stoppedAgain", "[entry]") {
+  EndCopy(ReceiveTerminationNotice(), CopyStatus::kCopied, 5);
+  EndCopy(EffectsOf<StartCopy>().at(0), CopyStatus::kUnknownRun);
+  now += 10ms;
+  DeliverEvents(send.attempt, 6);
+  AdvanceTime(70ms);
+  CHECK(EffectsOf<Send>().empty());
+  REQUIRE(EffectsOf<StartCopy>().size() == 1);
+  CHECK(EffectsOf<StartCopy>()[0].final);
 }
 
 // Guards against a copy that is dropped, and its stream lost, because the call that stopped the
@@ -535,7 +585,7 @@
   CHECK_FALSE(second.final);
   EndAttempt(send.attempt, AttemptResult::kBroken);
   CHECK(EffectsOf<BreakStream>().empty());
-  EndCopy(second, CopyStatus::kNoAnswer);
+  EndCopy(second, CopyStatus::kConnectionRefused);
   const std::vector<Send> sends = EffectsOf<Send>();
   REQUIRE(sends.size() == 1);
   CHECK(sends[0].resume);
@@ -544,7 +594,7 @@
 // Guards against a stream that is broken although the target has a copy, because the reply to a
 // later copy round fails before the source's connection is seen to end.
 TEST_CASE_METHOD(MigrationFixture, "laterRound_failsBeforeSourceEnds_copyIsKept", "[entry]") {
-  const CopyStatus status = GENERATE(CopyStatus::kNoAnswer, CopyStatus::kUnknownRun);
+  const CopyStatus status = GENERATE(CopyStatus::kConnectionRefused, CopyStatus::kUnknownRun);
   const StartCopy first = ReceiveTerminationNotice();
   now += 300ms;
   EndCopy(first, CopyStatus::kCopied, 6);
@@ -562,8 +612,20 @@
 TEST_CASE_METHOD(MigrationFixture, "copy_sourceEndsWhileRetryIsScheduled_streamEnds", "[entry]") {
   EndCopy(ReceiveTerminationNotice(), CopyStatus::kBusy);
   EndAttempt(send.attempt, AttemptResult::kBroken);
-  CHECK(EffectsOf<BreakStream>().size() == 1);
-  CHECK(state.requests.empty());
+  // Its engine may work on, and can then still stop and move it.
+  REQUIRE(EffectsOf<StartCopy>().size() == 1);
+  const StartCopy stop = EffectsOf<StartCopy>()[0];
+  CHECK(stop.final);
+  SECTION("the engine has it") {
+    EndCopy(stop, CopyStatus::kCopied, 6);
+    REQUIRE(EffectsOf<Send>().size() == 1);
+    CHECK(EffectsOf<Send>()[0].resume);
+  }
+  SECTION("the engine doesn't have it or can't be reached") {
+    EndCopy(stop, GENERATE(CopyStatus::kUnknownRun, CopyStatus::kConnectionRefused));
+    CHECK(EffectsOf<BreakStream>().size() == 1);
+    CHECK(state.requests.empty());
+  }
 }
 
 // Guards against a pause that the caller notices: a generation that is stopped while the links are
@@ -578,7 +640,7 @@
     CHECK_FALSE(copy.final);
   }
   EndAttempt(send.attempt, AttemptResult::kBroken);
-  EndCopy(copy, CopyStatus::kNoAnswer);
+  EndCopy(copy, CopyStatus::kConnectionRefused);
   REQUIRE(EffectsOf<Send>().size() == 1);
   CHECK(EffectsOf<Send>()[0].resume);
 }
--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 #include <optional>
+#include <vector>
 
 #include "snipeturn/loop/loop_fixture.h"
 
@@ -359,7 +360,7 @@
   CHECK_FALSE(SecondCallReusesConnection(server));
 }
 
-TEST_CASE_METHOD(ClientFixture, "call_connectionRefused_unsent", "[loop]") {
+TEST_CASE_METHOD(ClientFixture, "call_connectionRefused_unsentAndRefused", "[loop]") {
   acceptor.close();
   HttpCall call;
   call.pool = "pool";
@@ -369,9 +370,44 @@
   handlers.on_end = [this](ExchangeResult ended, const std::string& /*reason*/) { result = ended; };
   client.Start(std::move(call), std::move(handlers));
   REQUIRE(EndsInTime());
+  CHECK(result == ExchangeResult::kConnectionRefused);
+  CHECK(IsUnsent(*result));
+}
+
+// Guards against an address that can't be used, or another failure of this host, that is taken for
+// a server which is gone.
+TEST_CASE_METHOD(ClientFixture, "call_invalidAddress_unsentButNotUnreachable", "[loop]") {
+  HttpCall call;
+  call.pool = "pool";
+  call.endpoint = {"not-an-address", 1};
+  call.bytes = "GET / HTTP/1.1\r\n\r\n";
+  ExchangeHandlers handlers;
+  handlers.on_end = [this](ExchangeResult ended, const std::string& /*reason*/) { result = ended; };
+  client.Start(std::move(call), std::move(handlers));
+  REQUIRE(EndsInTime());
   CHECK(result == ExchangeResult::kUnsent);
 }
 
+// Guards against a server that doesn't respond to connecting and isn't told from one that ends
+// connections before a request is written.
+TEST_CASE_METHOD(ClientFixture, "call_connectUnanswered_unreachable", "[loop]") {
+  // The kernel doesn't respond to connecting while the queue of unaccepted connections is full.
+  acceptor.listen(0);
+  std::vector<tcp::socket> queued;
+  for (int count = 0; count < 4; ++count) {
+    queued.emplace_back(context);
+    queued.back().open(tcp::v4());
+    queued.back().non_blocking(true);
+    boost::system::error_code ignored;
+    queued.back().connect(acceptor.local_endpoint(), ignored);
+  }
+  RunFor(50ms);
+  Start();
+  REQUIRE(EndsInTime());
+  CHECK(result == ExchangeResult::kUnreachable);
+  CHECK(IsUnsent(*result));
+}
+
 TEST_CASE_METHOD(ClientFixture, "call_unresponsiveServer_endsAtTimeout", "[loop]") {
   Start(80ms);
   tcp::socket server = Accept();
