Soak: engines that reset streams or stall, and work on

The soak's engines worked on only after lost or refused stop calls, and a stream whose connection had ended counted as stopped without any call. Of so many requests one now has its stream reset by the first call about it, and one makes no events for 2 s, in which all calls are reset; both are worked on. A copy carries the memory of a generation and no longer the faults of its engine.

--- a/test/soak/fakes.py
+++ b/test/soak/fakes.py
@@ -30,11 +30,17 @@
 MAX_OVERLAP_S, DISTURBED_S = 0.45, 3.0
 # Of so many requests, one is refused its last copy, one has each reply to its calls, or its
 # response, sent again before the next one on the connection. One has the connections of the first
-# calls to stop it dropped, unread, and one has them turned away, as a server that sheds load does;
-# both are worked on when their streams are closed.
+# calls to stop it dropped, unread, and one has them turned away, as a server that sheds load does.
+# One has the connection of its stream reset by the first call, and one makes no events for a while
+# from then on, in which all calls are reset. The last four are worked on when their streams are
+# closed.
 COPY_FAULTS = 6
-REFUSED_COPY, DROPPED_CALL, REPEATED_REPLY, SHED_CALL = 0, 1, 2, 3
+REFUSED_COPY, DROPPED_CALL, REPEATED_REPLY, SHED_CALL, CUT_STREAM, STALLED_RUN = range(COPY_FAULTS)
+WORKED_ON = (DROPPED_CALL, SHED_CALL, CUT_STREAM, STALLED_RUN)
 DROPPED_CALLS, SHED_CALLS = 4, 3
+STALL_S = 2.0
+# What a copy of a generation's memory holds; the faults stay at the engine that has them.
+COPIED = ("request", "id", "length", "events")
 
 
 async def read_head(reader):
@@ -516,7 +522,7 @@
             generation = {"request": request, "id": f"{request}@{self.name}",
                           "length": int(fields["token-counts"].split(",")[1]) // 4}
             event = 0
-        generation["stopped"] = False
+        generation["stopped"], generation["writer"] = False, writer
         self.generations[request] = generation
         await asyncio.sleep(self.time_to_first_event(request))
         is_framed = request_number(request) % 2 == 0
@@ -535,6 +541,9 @@
                 if generation["stopped"]:
                     await asyncio.sleep(generation.get("late_end_s", 0))
                     return False
+                if time.monotonic() < generation.get("stalled_until", 0):
+                    await asyncio.sleep(self.event_s)
+                    continue
                 event += 1
                 generation["events"] = event
                 data = f"id: {event}\ndata: {generation['id']}\n\n".encode()
@@ -544,7 +553,7 @@
                     self.record_first_event(request)
                 await asyncio.sleep(self.event_s * self.slowness())
         except ConnectionError:
-            if self.world.copy_fault(request) in (DROPPED_CALL, SHED_CALL):
+            if self.world.copy_fault(request) in WORKED_ON:
                 await self.work_on(generation)
             raise
         finally:
@@ -556,7 +565,8 @@
     async def work_on(self, generation):
         """Makes the rest of the events of a generation whose stream was closed."""
         while generation["events"] < generation["length"] and not generation["stopped"]:
-            generation["events"] += 1
+            is_stalled = time.monotonic() < generation.get("stalled_until", 0)
+            generation["events"] += 0 if is_stalled else 1
             await asyncio.sleep(self.event_s)
 
     async def check_single_run(self, request):
@@ -575,9 +585,17 @@
 
     def drops_call(self, call):
         """Tells whether it drops a call, as it does with the first ones to stop a generation."""
-        generation = self.generations.get(call["id"])
-        if (not call["last"] or generation is None
-                or self.world.copy_fault(call["id"]) != DROPPED_CALL):
+        generation, fault = self.generations.get(call["id"]), self.world.copy_fault(call["id"])
+        if generation is None:
+            return False
+        if fault == STALLED_RUN:
+            now = time.monotonic()
+            return now < generation.setdefault("stalled_until", now + STALL_S)
+        if fault == CUT_STREAM and not generation.get("is_cut"):
+            self.world.count("stream cut and worked on")
+            generation["is_cut"] = True
+            reset(generation["writer"])
+        if not call["last"] or fault not in (DROPPED_CALL, CUT_STREAM):
             return False
         generation["dropped_calls"] = generation.get("dropped_calls", 0) + 1
         return generation["dropped_calls"] <= DROPPED_CALLS
@@ -600,7 +618,8 @@
             generation["shed_calls"] = shed + 1
             return response(503, b"", [("Not-Executed", "1")])
         handle = f"h-{generation['id']}"
-        self.world.kv_copies[handle] = generation if call["last"] else dict(generation)
+        copied = {key: value for key, value in generation.items() if key in COPIED}
+        self.world.kv_copies[handle] = copied
         if call["last"]:
             generation["stopped"] = True
             self.generations.pop(call["id"], None)
--- a/test/soak/soak.py
+++ b/test/soak/soak.py
@@ -54,6 +54,7 @@
     "113": "DENIED: one port was given out twice, so callers met another daemon's readiness port",
     "412": "CONFIG: a host that started served by the store's copy until it heard from its peers",
     "2004": "TWICE: a stream went on elsewhere although the call to stop it was reset unread",
+    "9001": "TWICE: a stream went on elsewhere although its engine, which had reset it, worked on",
     "3045": "LOST: a stream was passed on a millisecond before SIGTERM was handled, which excuses it",
     "141": "the soak ended with an error: both series of faults removed one upstream",
 }
