Entry: streams whose run has stopped go on in a file of their own; a lost stream of a dropped service ends

Fault, of the commit before: a process ended (std::out_of_range) when a stream was lost whose service a new configuration had dropped. stream_lostAfterServiceWasDropped_broken fails before.

A stream that is moved because it was lost now counts at its target at once in the load table, as other moves do.

--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -7,7 +7,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
-#include "snipeturn/entry/dispatch.h"
+#include "snipeturn/entry/continuation.h"
 #include "snipeturn/entry/forecast.h"
 #include "snipeturn/entry/lifecycle.h"
 #include "snipeturn/entry/load.h"
@@ -40,8 +40,6 @@
 constexpr int kMaxRefusedResumes = 3;
 /// An engine that sent a response or an event within this time is considered alive.
 constexpr std::chrono::milliseconds kLivenessWindow{1000};
-/// Maximum time for a request to reach the engine.
-constexpr std::chrono::milliseconds kMaxDeliveryDelay{150};
 
 const Attempt* RunningAttempt(const Request& request) {
   return request.attempts.empty() ? nullptr : &request.attempts.back();
@@ -100,49 +98,6 @@
       migration.evidence.unanswered_calls > 0 || migration.evidence.has_connection_ended});
 }
 
-/// Drops copy and attempts of a migrating stream.
-void DropMigration(EventScope& scope, Request& request) {
-  CancelAttempts(scope, request);
-  ReleaseCopy(scope, request);
-  request.migration.reset();
-}
-
-/// Returns whether a generation may resume at an engine. One in an evacuated zone, or a leaving one
-/// after its drain period, must get no requests, resumes included.
-bool MayResumeAt(const EventScope& scope, const UpstreamId& id) {
-  const auto found = scope.state.upstreams.find(id);
-  return found != scope.state.upstreams.end() &&
-         scope.state.evacuated_zones.count(found->second.entry.zone) == 0 &&
-         !IsVersionClosed(scope.state, found->second) &&
-         (found->second.phase != UpstreamPhase::kLeaving ||
-          scope.now - found->second.phase_since <
-              scope.state.options.bounds.drain - kMaxDeliveryDelay);
-}
-
-/// Resumes the generation from its copy at an engine. If that mustn't get it any more, a source
-/// that stopped it still has its memory.
-void ResumeAt(EventScope& scope, Request& request, UpstreamId id) {
-  if (!MayResumeAt(scope, id) && request.migration->is_complete) {
-    id = request.migration->source;
-  }
-  if (!MayResumeAt(scope, id)) {
-    DropMigration(scope, request);
-    RetryOrBreakStream(scope, request, AttemptResult::kBroken, "move_target_gone");
-    return;
-  }
-  const auto found = scope.state.upstreams.find(id);
-  if (HoldsEvents(request) && !request.attempts.empty()) {
-    RelayStream(scope, request, request.attempts.back());
-  }
-  Migration& migration = *request.migration;
-  migration.step = MigrationStep::kResuming;
-  CancelAttempts(scope, request);
-  Cancel(scope.state.timers, {TimerKind::kEntryMove, request.key});
-  RecordColdStart(found->second, scope.now);
-  StartAttempt(scope, request, found->second,
-               Resume{migration.source_endpoint, migration.handle, request.events});
-}
-
 /// Marks a target that reported no room as unreachable, unless it was alive just now: the source
 /// reports the same status if it can't reach the target. Other migrations then prefer other
 /// targets.
@@ -158,23 +113,6 @@
   }
 }
 
-void AbortMigration(EventScope& scope, Request& request, std::string_view reason) {
-  Log(scope, log_events::kMoveFailed,
-      fmt::format("id={} source={} target={} reason={} rounds={} events={}", request.head.id,
-                  request.migration->source, request.migration->target, reason,
-                  request.migration->rounds, request.events));
-  IncrementCounter(scope, kEntryMoves, reason);
-  const bool has_source_ended = request.migration->evidence.has_connection_ended;
-  if (!request.migration->handle.empty() && !has_source_ended) {
-    scope.effects.push_back(DropCopy{request.migration->source, request.migration->source_endpoint,
-                                     request.migration->handle});
-  }
-  request.migration.reset();
-  if (request.attempts.empty()) {
-    RetryOrBreakStream(scope, request, AttemptResult::kBroken, reason);
-  }
-}
-
 /// Gives up the copy of a running generation at a target that wants no new work any more, if
 /// another engine has room. Returns whether it did.
 bool ReplaceTarget(EventScope& scope, Request& request) {
@@ -234,9 +172,11 @@
 /// other engine could go on with the stream.
 bool StopLostRun(EventScope& scope, Request& request, const Attempt& attempt) {
   const State& state = scope.state;
-  const Service& service = state.desired->services.at(request.service);
+  // A new configuration may have dropped the service.
+  const auto service = state.desired->services.find(request.service);
   const auto source = state.upstreams.find(attempt.upstream);
-  if (!service.engine || !service.engine->supports_migration || source == state.upstreams.end()) {
+  if (service == state.desired->services.end() || !service->second.engine ||
+      !service->second.engine->supports_migration || source == state.upstreams.end()) {
     return false;
   }
   const Upstream* target = FindTarget(scope, request, source->second);
@@ -246,6 +186,7 @@
   Migration migration = MakeMigration(scope, source->second, *target);
   migration.evidence.has_connection_ended = true;
   request.migration = migration;
+  scope.state.load_changes += 1;
   Log(scope, log_events::kMoveStarted,
       fmt::format("id={} source={} target={} reason=stream_lost events={}", request.head.id,
                   migration.source, migration.target, request.events));
@@ -253,47 +194,6 @@
   return true;
 }
 
-/// Returns what is known of the generation at the source of a migration.
-RunEvidence CollectEvidence(const EventScope& scope, const Request& request) {
-  const Migration& migration = *request.migration;
-  RunEvidence evidence = migration.evidence;
-  evidence.silence =
-      ToMilliseconds(scope.now - std::max(request.last_event_at, request.migration->began));
-  const auto source = scope.state.upstreams.find(migration.source);
-  evidence.is_listed = source != scope.state.upstreams.end() && !source->second.was_unlisted;
-  return evidence;
-}
-
-/// Continues a stream whose generation has stopped from its copy; without one, drops the migration.
-void ContinueStopped(EventScope& scope, Request& request, RunState state) {
-  const Migration& migration = *request.migration;
-  const RunEvidence evidence = CollectEvidence(scope, request);
-  Log(scope, log_events::kRunStopped,
-      fmt::format("id={} source={} state={} disconnected={} unanswered={} silence_ms={} listed={}",
-                  request.head.id, migration.source, ToString(state), evidence.has_connection_ended,
-                  evidence.unanswered_calls, evidence.silence.count(), evidence.is_listed));
-  if (migration.handle.empty()) {
-    AbortMigration(scope, request, "upstream_lost");
-    return;
-  }
-  // An engine that stopped the generation without room at the target still has its memory.
-  const bool is_at_source = evidence.answer == RunAnswer::kStopped && !migration.is_complete;
-  ResumeAt(
-      scope, request,
-      is_at_source && MayResumeAt(scope, migration.source) ? migration.source : migration.target);
-}
-
-/// Continues a generation elsewhere if it is known to have stopped, else calls to stop it after a
-/// delay. One that goes on elsewhere while it runs here would be worked on twice.
-void ContinueOrStop(EventScope& scope, Request& request, std::chrono::milliseconds delay) {
-  const RunState state = JudgeRun(CollectEvidence(scope, request));
-  if (state == RunState::kMayRun) {
-    ScheduleMigration(scope, request, delay);
-  } else {
-    ContinueStopped(scope, request, state);
-  }
-}
-
 /// Delay until a call is made again.
 std::chrono::milliseconds RetryDelayAfter(CopyStatus status) noexcept {
   if (status == CopyStatus::kCopied) {
--- a/test/snipeturn/entry/resume_test.cc
+++ b/test/snipeturn/entry/resume_test.cc
@@ -240,6 +240,20 @@
   CHECK(EffectsOf<RelayEvents>().size() == 1);
 }
 
+// Guards against a process that ends, or a stream that is never ended, because a new configuration
+// has dropped the service whose engine is lost.
+TEST_CASE_METHOD(ResumeFixture, "stream_lostAfterServiceWasDropped_broken", "[entry]") {
+  const Send first = StartResumableStream(2);
+  desired.version = 3;
+  desired.services.erase("engines");
+  desired.routes.erase(desired.routes.begin());
+  desired.routes.pop_back();
+  Apply(DesiredStateRead{desired});
+  EndAttempt(first.attempt, AttemptResult::kBroken, 200);
+  CHECK(EffectsOf<Send>().empty());
+  CHECK(EffectsOf<BreakStream>().size() == 1);
+}
+
 // Guards against a wait for an engine that has no call to stop a run.
 TEST_CASE_METHOD(ResumeFixture, "stream_engineWithoutMigrationLost_continuesAnew", "[entry]") {
   desired.version = 3;
