Store updates: an entry written since the store can be read again hasn't expired in an outage

Cause: a removal that is read within 2.5 s of a failed read counted as due to an outage of the store, and the entry was waited for during 2 s. The host's own zone had been cut; the server had written its entry again after the host's reads worked, and then left without a notice. An entry expires only after several heartbeats of silence.

Ruled out: a request held up by the cut (these two were sent after the notice), a late read (0.1 s).

Change: StoreView::list_regained is the end of the first read of the list that began after the last failure; the removal of an entry whose last record lies after it isn't put down to the outage.

--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -59,6 +59,9 @@
   std::optional<TimePoint> deferred_until;
   /// Time of the last failed read.
   std::optional<TimePoint> failed;
+  /// End of this host's first read of the upstream list after that. Records from there on were
+  /// written since the store can be read again.
+  std::optional<StorePosition> list_regained;
   bool is_reachable{false};
 };
 
--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -49,6 +49,15 @@
   return store.failed && scope.now - *store.failed < kOutageWindow;
 }
 
+/// Tells whether the last known record of an upstream was written since the store can be read
+/// again. An entry expires after several heartbeats of silence, so that a removal which follows
+/// within the outage window isn't due to the outage.
+bool IsWrittenSinceOutage(const State& state, const UpstreamId& id) {
+  const auto known = state.list_records.find(id);
+  return state.store.list_regained && known != state.list_records.end() &&
+         !(known->second.position < *state.store.list_regained);
+}
+
 /// Tells whether a server wrote the first record before the second one, by its own count. A record
 /// may be delayed on its way to the store, or come from a copy of it.
 /// @tparam First, Second Records with the start and the count of the server: entries of the list,
@@ -349,6 +358,7 @@
 }
 
 void UnlistUpstream(EventScope& scope, const UpstreamUnlisted& event) {
+  const bool is_written_since_outage = IsWrittenSinceOutage(scope.state, event.id);
   if (!AcceptRemoval(scope, event)) {
     return;
   }
@@ -357,7 +367,8 @@
     return;
   }
   UpstreamUnlisted update = event;
-  update.may_have_expired = event.may_have_expired && IsStoreOutage(scope);
+  update.may_have_expired =
+      event.may_have_expired && IsStoreOutage(scope) && !is_written_since_outage;
   if (event.source == UpdateSource::kStore) {
     QueueUpdate(scope, update);
   }
@@ -486,8 +497,13 @@
 }
 
 void ConfirmList(EventScope& scope, const ListConfirmed& event) {
-  if (event.position.era >= scope.state.store.era.value_or(0)) {
-    scope.state.list_confirmed = event.began;
+  StoreView& store = scope.state.store;
+  if (event.position.era < store.era.value_or(0)) {
+    return;
+  }
+  scope.state.list_confirmed = event.began;
+  if (store.failed && event.began >= *store.failed && !store.list_regained) {
+    store.list_regained = event.position;
   }
 }
 
@@ -517,6 +533,7 @@
 void HandleStoreFailure(EventScope& scope, const StoreReadFailed& event) {
   StoreView& store = scope.state.store;
   store.failed = scope.now;
+  store.list_regained.reset();
   if (store.is_reachable) {
     store.is_reachable = false;
     Log(scope, log_events::kStoreLost, fmt::format("reason={}", event.reason));
--- a/test/snipeturn/entry/store_updates_test.cc
+++ b/test/snipeturn/entry/store_updates_test.cc
@@ -149,6 +149,43 @@
   }
 }
 
+// Guards against a request to a server that has left, sent 2.1 s after its entry was removed: a
+// host whose zone had been cut off from the store until a moment before took the removal for that
+// of an entry which had expired, although the server had written it since
+// (review/days-2/zone-cuts).
+TEST_CASE_METHOD(StoreUpdatesFixture,
+                 "upstream_writtenSinceOutageThenRemoved_leavesAtOnce",
+                 "[entry]") {
+  UpstreamEntry entry = AddUpstream("plain-1", "plain");
+  Apply(StoreReadFailed{"connect timeout"});
+  now += 100ms;
+  entry.sequence += 1;
+  SECTION("written after the first read") {
+    Apply(ListConfirmed{now, {0, 100}});
+    now += 300ms;
+    Apply(UpstreamListed{entry, {0, 100}});
+    now += 600ms;
+    Apply(UpstreamUnlisted{"plain-1", {0, 101}});
+    CHECK_FALSE(IsSent());
+  }
+  SECTION("written before the first read, maybe before the outage") {
+    Apply(UpstreamListed{entry, {0, 99}});
+    Apply(ListConfirmed{now, {0, 100}});
+    now += 900ms;
+    Apply(UpstreamUnlisted{"plain-1", {0, 101}});
+    CHECK(IsSent());
+  }
+  SECTION("the read began before the last failure") {
+    const TimePoint began = now;
+    now += 100ms;
+    Apply(StoreReadFailed{"timeout"});
+    Apply(ListConfirmed{began, {0, 100}});
+    Apply(UpstreamListed{entry, {0, 100}});
+    Apply(UpstreamUnlisted{"plain-1", {0, 101}});
+    CHECK(IsSent());
+  }
+}
+
 // Guards against removals that a host passes on without saying whether it could read the store.
 TEST_CASE_METHOD(StoreUpdatesFixture, "removal_readInOutage_toldAsPossiblyExpired", "[entry]") {
   const bool is_outage = GENERATE(true, false);
