--- a/src/snipeturn/entry/continuation.h
+++ b/src/snipeturn/entry/continuation.h
@@ -11,9 +11,8 @@
 /// @brief Returns what is known of the generation at the source of a request's migration.
 [[nodiscard]] RunEvidence CollectEvidence(const EventScope& scope, const Request& request);
 
-/// @brief Tells whether a generation may resume at an engine. One in an evacuated zone, or a
-/// leaving
-///     one after its drain period, must get no requests, resumes included.
+/// @brief Tells whether a generation may resume at an engine: one in an evacuated zone, or one that
+///     left its drain period behind, must get no requests, resumes included.
 [[nodiscard]] bool MayResumeAt(const EventScope& scope, const UpstreamId& id);
 
 /// @brief Resumes a generation that has stopped from its copy at an engine.
--- a/src/snipeturn/entry/migration.cc
+++ b/src/snipeturn/entry/migration.cc
@@ -29,6 +29,10 @@
 /// refused copy.
 constexpr std::chrono::milliseconds kRetryDelay{60};
 constexpr std::chrono::milliseconds kBusyRetryDelay{20};
+/// Calls in a row that may fail before the delay until the next one doubles with each, and the most
+/// doublings: hundreds of hosts may call an engine in trouble for many streams each.
+constexpr int kQuickRetries = 4;
+constexpr int kMaxRetryDoublings = 4;
 /// Maximum wait for the last events of a stopped generation.
 constexpr std::chrono::milliseconds kLastEventsTimeout{60};
 /// A generation is assumed to have at least this fraction (1/n) of its output so far still to come.
@@ -195,12 +199,13 @@
 }
 
 /// Delay until a call is made again.
-std::chrono::milliseconds RetryDelayAfter(CopyStatus status) noexcept {
+std::chrono::milliseconds RetryDelayAfter(CopyStatus status, int failed_calls) noexcept {
   if (status == CopyStatus::kCopied) {
     return std::chrono::milliseconds{0};
   }
   const bool is_unsent = IsUnanswered(status) && status != CopyStatus::kNoAnswer;
-  return is_unsent ? kRetryDelay : kBusyRetryDelay;
+  const int doublings = std::clamp(failed_calls - kQuickRetries, 0, kMaxRetryDoublings);
+  return (is_unsent ? kRetryDelay : kBusyRetryDelay) * (1 << doublings);
 }
 
 /// Continues a generation that has stopped as a call ended: at once if no event is still to come,
@@ -370,6 +375,7 @@
       is_stop && has_stopped_nothing && attempt != nullptr) {
     attempt->stop_calls -= 1;
   }
+  migration.failed_calls = event.status == CopyStatus::kCopied ? 0 : migration.failed_calls + 1;
   RecordCallEnd(migration.evidence, event, is_stop);
   const RunState run_state = JudgeRun(migration.evidence);
   const bool is_source_open = !migration.evidence.has_connection_ended;
@@ -380,7 +386,7 @@
   // A copy that got no response is made again, as the target has that of an earlier round.
   const bool is_repeated = IsUnanswered(event.status) && !migration.handle.empty();
   if (is_stop || !is_source_open || is_repeated) {
-    ScheduleMigration(scope, request, RetryDelayAfter(event.status));
+    ScheduleMigration(scope, request, RetryDelayAfter(event.status, migration.failed_calls));
     return;
   }
   if (event.status == CopyStatus::kBusy) {
--- a/src/snipeturn/entry/request.h
+++ b/src/snipeturn/entry/request.h
@@ -68,8 +68,9 @@
   Endpoint source_endpoint;
   UpstreamId target;
   Endpoint target_endpoint;
-  /// Number of copy calls made so far.
+  /// Number of copy calls made so far, and of the last of them that copied nothing.
   int rounds{0};
+  int failed_calls{0};
   TimePoint began{};
   TimePoint call_began{};
   /// Handle of the copy, once the source has returned one.
