Continuation: the move of a lost source keeps its result source_lost, its stream the reason upstream_lost

Both names stand in metrics and log lines that operators read. A move that ends since its source was lost is counted as source_lost again; the stream that breaks then says upstream_lost, as the operations page has it.

--- a/src/snipeturn/entry/continuation.cc
+++ b/src/snipeturn/entry/continuation.cc
@@ -71,7 +71,7 @@
                   request.head.id, migration.source, ToString(state), evidence.has_connection_ended,
                   evidence.unanswered_calls, evidence.silence.count(), evidence.is_listed));
   if (migration.handle.empty()) {
-    AbortMigration(scope, request, "upstream_lost");
+    AbortMigration(scope, request, "source_lost");
     return;
   }
   // An engine that stopped the generation without room at the target still has its memory.
@@ -109,7 +109,7 @@
   }
   request.migration.reset();
   if (request.attempts.empty()) {
-    RetryOrBreakStream(scope, request, AttemptResult::kBroken, reason);
+    RetryOrBreakStream(scope, request, AttemptResult::kBroken, "upstream_lost");
   }
 }
 
--- a/src/snipeturn/entry/continuation.h
+++ b/src/snipeturn/entry/continuation.h
@@ -39,7 +39,7 @@
 ///     or broken, so its generation must have stopped.
 /// @param scope State, effects and time of the event.
 /// @param request A migrating request.
-/// @param reason Reason code.
+/// @param reason Reason code of the migration's end.
 void AbortMigration(EventScope& scope, Request& request, std::string_view reason);
 
 }  // namespace snipeturn::entry::internal
