--- a/test/snipeturn/loop/http_client_test.cc
+++ b/test/snipeturn/loop/http_client_test.cc
@@ -396,10 +396,8 @@
   std::vector<tcp::socket> queued;
   for (int count = 0; count < 4; ++count) {
     queued.emplace_back(context);
-    queued.back().open(tcp::v4());
-    queued.back().non_blocking(true);
-    boost::system::error_code ignored;
-    queued.back().connect(acceptor.local_endpoint(), ignored);
+    queued.back().async_connect(acceptor.local_endpoint(),
+                                [](const boost::system::error_code& /*error*/) {});
   }
   RunFor(50ms);
   Start();
