Roll-outs: a published state counts only in the store's era in which it was read or written

Operators and the platform would have seen "running" for good.

Cause: a host forgets on a return which state the store holds, but takes it back from the tables of hosts that haven't heard of the return yet. These forget it in turn and take it back from the first one: each host believes the others and none writes.

Change: RecordedState is a state with its era, in the host's state, in the result of a write and in load tables (key rollout_eras beside rollouts, since hosts of an earlier release drop longer rows). StateInStore() counts it only in the present era. A peer's word replaces the own one only if it tells an end or a later era; the verdict stands in any era.

--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -217,6 +217,18 @@
   std::optional<std::uint64_t> order{};
 };
 
+/// State of an order that a process read or wrote in the store.
+struct RecordedState {
+  RolloutState state{RolloutState::kRunning};
+  /// Era of the store then; what a store of a later era holds may be older.
+  StoreEra era{0};
+};
+
+[[nodiscard]] constexpr bool operator==(const RecordedState& left,
+                                        const RecordedState& right) noexcept {
+  return left.state == right.state && left.era == right.era;
+}
+
 /// Result of ReadRolloutStatus. A read that fails gives no event; it is asked for again.
 struct RolloutStatusRead {
   std::string service;
@@ -256,6 +268,8 @@
   std::string service;
   RolloutStatus status;
   StatusWriteResult result{StatusWriteResult::kUnknown};
+  /// Era of the log that the write was for.
+  StoreEra era{0};
 };
 
 /// What a host, or a cell, knows of a service's roll-out.
@@ -268,8 +282,8 @@
   std::chrono::milliseconds age{0};
   std::chrono::milliseconds duration{0};
   rollout::Phase phase{rollout::Phase::kCanary};
-  /// State of this order that the sender knows to be in the store.
-  std::optional<RolloutState> published;
+  /// State of this order that the sender knows to have been in the store.
+  std::optional<RecordedState> published;
   /// Process of the host that counted the rows; 0 in the sum of a cell.
   std::uint64_t incarnation{0};
   /// Empty when the roll-out has ended.
--- a/src/snipeturn/entry/rollout_state.h
+++ b/src/snipeturn/entry/rollout_state.h
@@ -32,8 +32,8 @@
   TimePoint phase_since{};
   /// The target has taken over, which the store has yet to record.
   bool is_success_due{false};
-  /// State of this order that is known to be in the store.
-  std::optional<RolloutState> published;
+  /// State of this order that is known to have been in the store.
+  std::optional<RecordedState> published;
   rollout::Exposure exposure;
   /// What this host has seen, and what others have reported.
   rollout::EvidenceRows own;
--- a/src/snipeturn/entry/rollout_updates.cc
+++ b/src/snipeturn/entry/rollout_updates.cc
@@ -77,6 +77,20 @@
          });
 }
 
+constexpr rollout::Phase FinalPhase(RolloutState state) noexcept {
+  return state == RolloutState::kSucceeded ? rollout::Phase::kSucceeded
+                                           : rollout::Phase::kRolledBack;
+}
+
+/// Tells whether a peer knows more of the order's state than this host. An end stands, also when
+/// the store has lost it; a later era only tells that the store holds it still.
+bool IsNewer(const RecordedState& reported, const std::optional<RecordedState>& known) noexcept {
+  const auto rank = [](const RecordedState& recorded) {
+    return std::pair(recorded.state != RolloutState::kRunning, recorded.era);
+  };
+  return !known || rank(*known) < rank(reported);
+}
+
 /// Notes what a peer knows of the order that is pending or in force here.
 void AdoptReport(EventScope& scope,
                  ServiceVersions& versions,
@@ -87,19 +101,12 @@
   active.is_fresh = active.is_fresh || !rollout::IsFinal(report.phase);
   active.is_status_known = true;
   active.order.era = std::max(active.order.era, report.order.era);
-  const bool is_published = report.published && *report.published != RolloutState::kRunning;
-  const bool knows_end = active.published && *active.published != RolloutState::kRunning;
-  if (is_published && !knows_end) {
+  if (report.published && IsNewer(*report.published, active.published)) {
     active.published = report.published;
-    const auto phase = *report.published == RolloutState::kSucceeded ? rollout::Phase::kSucceeded
-                                                                     : rollout::Phase::kRolledBack;
-    if (phase != active.phase) {
-      ChangePhase(scope, versions, phase, source);
+    const RolloutState state = report.published->state;
+    if (state != RolloutState::kRunning && FinalPhase(state) != active.phase) {
+      ChangePhase(scope, versions, FinalPhase(state), source);
     }
-    return;
-  }
-  if (report.published && !active.published) {
-    active.published = report.published;
   }
   if (!rollout::IsFinal(active.phase)) {
     rollout::AdoptRows(active.reported, {source, report.incarnation}, report.rows);
@@ -293,13 +300,10 @@
   active.step_at = scope.now;
   switch (event.result) {
     case StatusWriteResult::kWritten:
-      active.published = event.status.state;
-      if (event.status.state == RolloutState::kSucceeded &&
-          active.phase != rollout::Phase::kSucceeded) {
-        ChangePhase(scope, found->second, rollout::Phase::kSucceeded, "written");
-      } else if (event.status.state == RolloutState::kRolledBack &&
-                 active.phase != rollout::Phase::kRolledBack) {
-        ChangePhase(scope, found->second, rollout::Phase::kRolledBack, "written");
+      active.published = RecordedState{event.status.state, event.era};
+      if (event.status.state != RolloutState::kRunning &&
+          FinalPhase(event.status.state) != active.phase) {
+        ChangePhase(scope, found->second, FinalPhase(event.status.state), "written");
       }
       scope.state.load_changes += 1;  // Triggers an immediate broadcast.
       break;
@@ -317,11 +321,8 @@
 }
 
 void RepublishRollouts(EventScope& scope) {
-  for (auto& [service, versions] : scope.state.rollouts) {
-    if (versions.active && versions.active->published) {
-      versions.active->published.reset();
-      ScheduleRolloutReview(scope);
-    }
+  if (!scope.state.rollouts.empty()) {
+    ScheduleRolloutReview(scope);
   }
 }
 
--- a/src/snipeturn/entry/rollouts.cc
+++ b/src/snipeturn/entry/rollouts.cc
@@ -249,10 +249,17 @@
   DispatchQueue(scope);
 }
 
+std::optional<RolloutState> StateInStore(const State& state, const Rollout& rollout) {
+  const bool is_current =
+      rollout.published && rollout.published->era >= state.store.era.value_or(0);
+  return is_current ? std::optional(rollout.published->state) : std::nullopt;
+}
+
 void PublishRollout(EventScope& scope, Rollout& rollout) {
   const RolloutState wanted = StateToPublish(rollout);
   const bool is_final = wanted != RolloutState::kRunning;
-  if (!rollout.is_status_known || rollout.published == wanted || (rollout.published && !is_final)) {
+  const auto in_store = StateInStore(scope.state, rollout);
+  if (!rollout.is_status_known || in_store == wanted || (in_store && !is_final)) {
     rollout.wanted.reset();
     return;
   }
@@ -289,7 +296,7 @@
           ? *event.status->order == active.order.offset
           : active.published || !active.is_fresh || RolloutAge(active, scope.now) >= kMinFinalAge;
   if (has_ended && may_be_ours) {
-    active.published = event.status->state;
+    active.published = RecordedState{event.status->state, event.end.era};
     const auto phase = event.status->state == RolloutState::kSucceeded
                            ? rollout::Phase::kSucceeded
                            : rollout::Phase::kRolledBack;
@@ -302,7 +309,7 @@
     DispatchQueue(scope);
   }
   if (is_same && !has_ended && active.wanted == RolloutState::kRunning) {
-    active.published = RolloutState::kRunning;
+    active.published = RecordedState{RolloutState::kRunning, event.end.era};
   } else if (step == StatusStep::kReading && active.wanted) {
     active.step = StatusStep::kWriting;
     active.step_at = scope.now;
--- a/src/snipeturn/entry/rollouts.h
+++ b/src/snipeturn/entry/rollouts.h
@@ -70,7 +70,12 @@
 /// @brief Handles the result of a write.
 void HandleRolloutStatusWritten(EventScope& scope, const RolloutStatusWritten& event);
 
-/// @brief Writes final states again that the store has lost by coming back from a copy.
+/// @brief State of the order that the store is known to hold. What it held before its last return
+///     from a copy may be lost.
+[[nodiscard]] std::optional<RolloutState> StateInStore(const State& state, const Rollout& rollout);
+
+/// @brief Lets final states be written again that the store may have lost by coming back from a
+///     copy.
 void RepublishRollouts(EventScope& scope);
 
 /// @brief Takes in what another host, or the sum of a cell, reports.
--- a/src/snipeturn/loop/peer_socket.cc
+++ b/src/snipeturn/loop/peer_socket.cc
@@ -60,7 +60,6 @@
 constexpr char kAskedKey[] = "asked_us";
 constexpr char kAnsweredKey[] = "answered_us";
 /// Roll-outs that run or have just ended.
-constexpr char kRolloutsKey[] = "rollouts";
 /// Marks the sum of a cell.
 constexpr char kSumKey[] = "sum";
 /// Marks a crash report.
@@ -150,7 +149,7 @@
   if (!updates || !load || !limits || !leaving) {
     return std::nullopt;
   }
-  received.rollouts = DecodeRollouts(root[kRolloutsKey]);
+  received.rollouts = DecodeRollouts(root);
   received.recent_updates = std::move(*updates);
   received.capacity = DecodeCapacity(root);
   received.leaving = std::move(*leaving);
@@ -171,7 +170,7 @@
   if (!load || !limits || !leaving || sum.cell.empty() || sum.hosts < 1) {
     return std::nullopt;
   }
-  sum.rollouts = DecodeRollouts(root[kRolloutsKey]);
+  sum.rollouts = DecodeRollouts(root);
   sum.capacity = DecodeCapacity(root);
   sum.leaving = std::move(*leaving);
   sum.load = std::move(*load);
@@ -191,16 +190,16 @@
 
 /// Writes a message with as many rows of evidence as it has room for. Without roll-outs it has no
 /// further key.
-std::string WriteWithRollouts(Json::Value& root,
+std::string WriteWithRollouts(const Json::Value& root,
                               const std::vector<entry::ReportedRollout>& rollouts) {
   std::size_t max_rows = rollout::kMaxEvidenceRows;
   while (!rollouts.empty()) {
-    root[kRolloutsKey] = EncodeRollouts(rollouts, max_rows);
-    std::string text = WriteCompactJson(root);
+    Json::Value message = root;
+    EncodeRollouts(rollouts, max_rows, message);
+    std::string text = WriteCompactJson(message);
     if (text.size() <= kMaxDatagramBytes) {
       return text;
     }
-    root.removeMember(kRolloutsKey);
     if (max_rows == 0) {
       break;
     }
--- a/src/snipeturn/loop/rollout_codec.cc
+++ b/src/snipeturn/loop/rollout_codec.cc
@@ -33,6 +33,11 @@
 /// Far above the sum of any roll-out, and exact in a double.
 constexpr double kMaxScaledSum = 9e15;
 
+constexpr char kRolloutsKey[] = "rollouts";
+/// Eras of the published states, in the order of the roll-outs; 0 for those that have none. They are
+/// no column, since hosts of an earlier version drop longer elements.
+constexpr char kPublishedErasKey[] = "rollout_eras";
+
 constexpr std::array kStates{entry::RolloutState::kRunning, entry::RolloutState::kSucceeded,
                              entry::RolloutState::kRolledBack};
 constexpr std::array kPhases{rollout::Phase::kCanary, rollout::Phase::kPromoting,
@@ -137,7 +142,8 @@
 }
 
 /// Decodes the columns of an element that has their types, except for the rows.
-std::optional<entry::ReportedRollout> DecodeColumns(const Json::Value& row) {
+std::optional<entry::ReportedRollout> DecodeColumns(const Json::Value& row,
+                                                    entry::StoreEra published_era) {
   Json::ArrayIndex column = 0;
   entry::ReportedRollout rollout;
   rollout.service = row[column++].asString();
@@ -148,7 +154,9 @@
   const auto duration = DecodeAge(row[column++]);
   const auto phase = FindNamed(kPhases, row[column++]);
   const Json::Value& published = row[column++];
-  rollout.published = FindNamed(kStates, published);
+  if (const auto state = FindNamed(kStates, published)) {
+    rollout.published = entry::RecordedState{*state, published_era};
+  }
   rollout.incarnation = row[column++].asUInt64();
   if (rollout.service.empty() || rollout.target.empty() || !age || !duration || !phase ||
       (!rollout.published && !published.isNull())) {
@@ -160,11 +168,12 @@
   return rollout;
 }
 
-std::optional<entry::ReportedRollout> DecodeRollout(const Json::Value& row) {
+std::optional<entry::ReportedRollout> DecodeRollout(const Json::Value& row,
+                                                    entry::StoreEra published_era) {
   if (!HasColumnTypes(row)) {
     return std::nullopt;
   }
-  auto rollout = DecodeColumns(row);
+  auto rollout = DecodeColumns(row, published_era);
   if (!rollout) {
     return std::nullopt;
   }
@@ -181,11 +190,13 @@
 }  // namespace
 }  // namespace internal
 
-Json::Value EncodeRollouts(const std::vector<entry::ReportedRollout>& rollouts,
-                           std::size_t max_rows) {
-  Json::Value root(Json::arrayValue);
+void EncodeRollouts(const std::vector<entry::ReportedRollout>& rollouts,
+                    std::size_t max_rows,
+                    Json::Value& root) {
+  Json::Value& elements = root[internal::kRolloutsKey] = Json::Value(Json::arrayValue);
+  Json::Value& eras = root[internal::kPublishedErasKey] = Json::Value(Json::arrayValue);
   for (const entry::ReportedRollout& rollout : rollouts) {
-    if (root.size() == internal::kMaxRollouts) {
+    if (elements.size() == internal::kMaxRollouts) {
       break;
     }
     Json::Value row(Json::arrayValue);
@@ -196,7 +207,7 @@
     row.append(Json::Int64{rollout.age.count()});
     row.append(Json::Int64{rollout.duration.count()});
     row.append(std::string(ToString(rollout.phase)));
-    row.append(rollout.published ? Json::Value(std::string(ToString(*rollout.published)))
+    row.append(rollout.published ? Json::Value(std::string(ToString(rollout.published->state)))
                                  : Json::Value());
     row.append(Json::UInt64{rollout.incarnation});
     Json::Value rows(Json::arrayValue);
@@ -207,19 +218,24 @@
       rows.append(internal::EncodeRow(evidence));
     }
     row.append(std::move(rows));
-    root.append(std::move(row));
+    elements.append(std::move(row));
+    eras.append(Json::UInt64{rollout.published ? rollout.published->era : 0});
   }
-  return root;
 }
 
-std::vector<entry::ReportedRollout> DecodeRollouts(const Json::Value& rollouts) {
+std::vector<entry::ReportedRollout> DecodeRollouts(const Json::Value& root) {
+  const Json::Value& rollouts = root[internal::kRolloutsKey];
+  const Json::Value& eras = root[internal::kPublishedErasKey];
   std::vector<entry::ReportedRollout> decoded;
   if (!rollouts.isArray()) {
     return decoded;
   }
   const Json::ArrayIndex count = std::min(rollouts.size(), internal::kMaxRollouts);
   for (Json::ArrayIndex index = 0; index < count; ++index) {
-    if (auto rollout = internal::DecodeRollout(rollouts[index])) {
+    // Hosts of an earlier version state no eras.
+    const Json::Value era = eras.isArray() ? eras.get(index, 0) : Json::Value(0);
+    if (auto rollout =
+            internal::DecodeRollout(rollouts[index], era.isUInt64() ? era.asUInt64() : 0)) {
       decoded.push_back(std::move(*rollout));
     }
   }
--- a/src/snipeturn/loop/rollout_codec.h
+++ b/src/snipeturn/loop/rollout_codec.h
@@ -11,14 +11,15 @@
 /// @brief Encodes what a host or a cell knows of roll-outs, for a message to other hosts.
 /// @param rollouts The roll-outs.
 /// @param max_rows Most rows of evidence of each service; further ones are left out.
-/// @return An array with an element for each roll-out.
-[[nodiscard]] Json::Value EncodeRollouts(const std::vector<entry::ReportedRollout>& rollouts,
-                                         std::size_t max_rows);
+/// @param root The message, which gets the roll-outs.
+void EncodeRollouts(const std::vector<entry::ReportedRollout>& rollouts,
+                    std::size_t max_rows,
+                    Json::Value& root);
 
 /// @brief Decodes roll-outs. Throws nothing.
-/// @param rollouts Value from a message; of any type.
+/// @param root The message, an object.
 /// @return The roll-outs that are well-formed; others are dropped, as the rest of the message is of
 ///     use without them.
-[[nodiscard]] std::vector<entry::ReportedRollout> DecodeRollouts(const Json::Value& rollouts);
+[[nodiscard]] std::vector<entry::ReportedRollout> DecodeRollouts(const Json::Value& root);
 
 }  // namespace snipeturn::loop
--- a/test/snipeturn/entry/rollout_hosts_test.cc
+++ b/test/snipeturn/entry/rollout_hosts_test.cc
@@ -111,7 +111,7 @@
     const Effects caused = hosts[host].fixture.effects;
     for (const Effect& effect : caused) {
       if (const auto* read = std::get_if<ReadRolloutStatus>(&effect)) {
-        Apply(host, RolloutStatusRead{read->service, status, StorePosition(0, end)});
+        Apply(host, RolloutStatusRead{read->service, status, StorePosition(era, end)});
       } else if (const auto* write = std::get_if<WriteRolloutStatus>(&effect)) {
         const bool is_at_end = write->end.offset == end;
         if (is_at_end) {
@@ -121,11 +121,24 @@
         }
         Apply(host, RolloutStatusWritten{
                         write->service, write->status,
-                        is_at_end ? StatusWriteResult::kWritten : StatusWriteResult::kConflict});
+                        is_at_end ? StatusWriteResult::kWritten : StatusWriteResult::kConflict,
+                        write->end.era});
       }
     }
   }
 
+  /// Lets the store return from a copy that has the order, but not how it ended. Each host learns of
+  /// it later than the one before, while tables from before are on their way.
+  void ReturnStoreWithoutEnd(std::chrono::milliseconds delay) {
+    era += 1;
+    end = 1;
+    status = RolloutStatus{"v2", RolloutState::kRunning, 10};
+    for (std::size_t host = 0; host < hosts.size(); ++host) {
+      Apply(host, StoreEraRead{era});
+      Run(delay, 1);
+    }
+  }
+
   std::vector<Host> hosts;
   TimePoint now{std::chrono::seconds(2000)};
   std::mt19937 random;
@@ -133,6 +146,7 @@
   std::optional<RolloutStatus> status;
   std::vector<RolloutState> states;
   std::uint64_t end{0};
+  StoreEra era{0};
   double requests{0};
   double target_sends{0};
   int bad{0};
@@ -208,5 +222,27 @@
   }
 }
 
+// Guards against a final state that stays lost with a return of the store, since each host takes
+// another host's word from before the return for the store's.
+TEST_CASE_METHOD(RolloutHostsFixture,
+                 "rolloutHosts_finalStateLost_writtenAgain",
+                 "[entry][entry_rollout]") {
+  for (const auto delay : {0ms, 50ms, 100ms, 300ms}) {
+    for (std::uint32_t seed = 1; seed <= 5; ++seed) {
+      RolloutHostsFixture world;
+      world.Start(3, seed);
+      world.Run(5s, 0);
+      world.OrderAll();
+      world.Run(5s, 1);
+      REQUIRE(world.states == std::vector{RolloutState::kRunning, RolloutState::kRolledBack});
+      world.ReturnStoreWithoutEnd(delay);
+      world.Run(8s, 1);
+      INFO("delay " << delay.count() << " ms, seed " << seed);
+      CHECK(world.states == std::vector{RolloutState::kRunning, RolloutState::kRolledBack,
+                                        RolloutState::kRolledBack});
+    }
+  }
+}
+
 }  // namespace
 }  // namespace snipeturn::entry
--- a/test/snipeturn/entry/rollout_world.h
+++ b/test/snipeturn/entry/rollout_world.h
@@ -137,7 +137,9 @@
     report.duration = 12s;
     report.age = 2s;
     report.phase = phase;
-    report.published = published;
+    if (published) {
+      report.published = RecordedState{*published, 0};
+    }
     table.rollouts = {report};
     Collect(table);
   }
--- a/test/snipeturn/loop/rollout_codec_test.cc
+++ b/test/snipeturn/loop/rollout_codec_test.cc
@@ -33,7 +33,7 @@
   rollout.phase = rollout::Phase::kPromoting;
   rollout.age = std::chrono::milliseconds(3200);
   rollout.duration = std::chrono::seconds(12);
-  rollout.published = entry::RolloutState::kRunning;
+  rollout.published = entry::RecordedState{entry::RolloutState::kRunning, 7};
   rollout.incarnation = 1790101750402;
   for (std::size_t row = 0; row < rows; ++row) {
     rollout.rows.push_back(MakeRow("route-" + std::to_string(row)));
@@ -48,7 +48,7 @@
   CHECK(rollout.phase == rollout::Phase::kPromoting);
   CHECK(rollout.age == std::chrono::milliseconds(3200));
   CHECK(rollout.duration == std::chrono::seconds(12));
-  CHECK(rollout.published == entry::RolloutState::kRunning);
+  CHECK(rollout.published == entry::RecordedState{entry::RolloutState::kRunning, 7});
   CHECK(rollout.incarnation == 1790101750402);
   REQUIRE(rollout.rows.size() == rows);
   for (std::size_t index = 0; index < rows; ++index) {
@@ -127,6 +127,10 @@
   };
   REQUIRE(decode("[" + valid + "]") == 1);
   REQUIRE(decode(R"([["chat","v2",41,3,90,12000,"succeeded","succeeded",7,[]]])") == 1);
+  for (const std::string eras : {"7", "[]", "[-1]", "[\"x\"]", "{}"}) {
+    CAPTURE(eras);
+    CHECK(decode("[" + valid + R"(],"rollout_eras":)" + eras) == 1);
+  }
   for (const std::string rollouts : {"7", "\"x\"", "{}", "null", "[]"}) {
     CAPTURE(rollouts);
     CHECK(decode(rollouts) == 0);
