--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -58,7 +58,7 @@
   if (!file) {
     platform::ParsedSettings unreadable;
     unreadable.faults.push_back(
-        {platform::SettingsFaultEffect::kRefused, "", "can't open the file"});
+        {platform::FaultEffect::kRefused, "", "can't open the file"});
     return unreadable;
   }
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
@@ -68,11 +68,11 @@
 /// Prints the faults of the settings, one a line, unknown fields only with `warn_of_unknown`.
 /// Returns whether there are faults other than unknown fields.
 bool PrintFaults(const std::string& path,
-                 const std::vector<platform::SettingsFault>& faults,
+                 const std::vector<platform::Fault>& faults,
                  bool warn_of_unknown) {
   bool has_errors = false;
-  for (const platform::SettingsFault& fault : faults) {
-    const bool is_unknown = fault.effect == platform::SettingsFaultEffect::kIgnored;
+  for (const platform::Fault& fault : faults) {
+    const bool is_unknown = fault.effect == platform::FaultEffect::kIgnored;
     has_errors |= !is_unknown;
     if (!is_unknown || warn_of_unknown) {
       fmt::print(stderr, "snipeturn_entry: {}: {}{}\n", path, is_unknown ? "warning: " : "",
@@ -164,7 +164,7 @@
     if (!settings) {
       runtime_.Log({entry::log_events::kReloadFailed,
                     fmt::format("reason=\"{}\"",
-                                JoinFaults(faults, platform::SettingsFaultEffect::kRefused))});
+                                JoinFaults(faults, platform::FaultEffect::kRefused))});
       return;
     }
     follower_.SetStore(settings->store);
@@ -173,7 +173,7 @@
     runtime_.Log({entry::log_events::kReloaded,
                   fmt::format("store={}:{} defaults_used=\"{}\"", settings->store.address,
                               settings->store.port,
-                              JoinFaults(faults, platform::SettingsFaultEffect::kDefaultUsed))});
+                              JoinFaults(faults, platform::FaultEffect::kDefaultUsed))});
   }
 
   std::string path_;
