--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -12,6 +12,7 @@
 
 #include "snipeturn/base/timers.h"
 #include "snipeturn/entry/catalogue.h"
+#include "snipeturn/entry/configuration_difference.h"
 #include "snipeturn/entry/dispatch.h"
 #include "snipeturn/entry/migration.h"
 #include "snipeturn/entry/readers.h"
@@ -225,7 +226,7 @@
 
 void AdoptDesiredState(EventScope& scope, const DesiredStateRead& event) {
   State& state = scope.state;
-  if (state.desired && event.desired.version <= state.desired->version) {
+  if (state.desired && !IsNewerVersion(*state.desired, event.desired)) {
     return;
   }
   state.desired = event.desired;
--- /dev/null
+++ b/src/snipeturnctl/check.cc
@@ -0,0 +1,134 @@
+#include "src/snipeturnctl/check.h"
+
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <iostream>
+#include <utility>
+
+#include "platform/configuration.h"
+#include "src/snipeturnctl/render.h"
+
+namespace snipeturn::ctl {
+namespace internal {
+namespace {
+
+/// More than 10,000 routes with the keys of 830 organisations take, and far more than a record of the
+/// store holds. JSON takes some 50 times its size while it is read.
+constexpr std::size_t kMaxFileBytes = std::size_t{4} << 20U;
+
+/// Reads a file, or standard input for "-".
+/// @param failure Receives the error message.
+/// @return The text, or nothing if it can't be read or is too large.
+std::optional<std::string> ReadText(const std::string& path, std::string& failure) {
+  std::ifstream file;
+  if (path != "-") {
+    file.open(path, std::ios::binary);
+  }
+  std::istream& input = path == "-" ? std::cin : file;
+  std::string text;
+  constexpr std::size_t kPartBytes = 65536;
+  while (input && text.size() <= kMaxFileBytes) {
+    const std::size_t size = text.size();
+    text.resize(size + kPartBytes);
+    input.read(text.data() + size, kPartBytes);
+    text.resize(size + static_cast<std::size_t>(input.gcount()));
+  }
+  if (text.size() > kMaxFileBytes) {
+    failure = fmt::format("{}: more than {} bytes", path, kMaxFileBytes);
+    return std::nullopt;
+  }
+  if (!input.eof()) {
+    failure = fmt::format("{}: can't be read", path);
+    return std::nullopt;
+  }
+  return text;
+}
+
+/// A line of a finding. The path may be that of the whole file.
+std::string RenderFinding(std::string_view severity, const entry::ConfigurationFinding& finding) {
+  return fmt::format("{}: {}{}{}\n", severity, RenderText(finding.path),
+                     finding.path.empty() ? "" : ": ", RenderText(finding.problem));
+}
+
+Json::Value FindingsToJson(const std::vector<entry::ConfigurationFinding>& findings) {
+  Json::Value list(Json::arrayValue);
+  for (const entry::ConfigurationFinding& finding : findings) {
+    Json::Value item;
+    item["path"] = finding.path;
+    item["problem"] = finding.problem;
+    list.append(std::move(item));
+  }
+  return list;
+}
+
+CheckExitCode Fail(const std::string& message) {
+  fmt::print(stderr, "snipeturnctl: {}\n", RenderText(message));
+  return CheckExitCode::kUnreadable;
+}
+
+}  // namespace
+}  // namespace internal
+
+CheckExitCode ExitCodeOf(const platform::ConfigurationReport& report) noexcept {
+  if (!report.errors.empty()) {
+    return CheckExitCode::kErrors;
+  }
+  return report.warnings.empty() ? CheckExitCode::kClean : CheckExitCode::kWarnings;
+}
+
+std::string RenderReport(const platform::ConfigurationReport& report) {
+  std::string text;
+  for (const entry::ConfigurationFinding& error : report.errors) {
+    text += internal::RenderFinding("error", error);
+  }
+  for (const entry::ConfigurationFinding& warning : report.warnings) {
+    text += internal::RenderFinding("warning", warning);
+  }
+  for (const entry::ConfigurationChange& change : report.changes) {
+    text += fmt::format("{}: {}{}{}\n", ToString(change.kind), RenderText(change.subject),
+                        change.effect.empty() ? "" : ": ", RenderText(change.effect));
+  }
+  text += fmt::format("{} errors, {} warnings, {} changes", report.errors.size(),
+                      report.warnings.size(), report.changes.size());
+  return text + (report.left_out > 0 ? fmt::format(", {} more not listed\n", report.left_out)
+                                     : std::string("\n"));
+}
+
+Json::Value ReportToJson(const platform::ConfigurationReport& report) {
+  Json::Value root;
+  root["errors"] = internal::FindingsToJson(report.errors);
+  root["warnings"] = internal::FindingsToJson(report.warnings);
+  root["changes"] = Json::Value(Json::arrayValue);
+  for (const entry::ConfigurationChange& change : report.changes) {
+    Json::Value item;
+    item["kind"] = std::string(ToString(change.kind));
+    item["subject"] = change.subject;
+    item["effect"] = change.effect;
+    root["changes"].append(std::move(item));
+  }
+  root["left_out"] = Json::UInt64{report.left_out};
+  return root;
+}
+
+CheckExitCode RunCheck(const CommandLine& command) {
+  std::string failure;
+  const auto text = internal::ReadText(command.subject, failure);
+  if (!text) {
+    return internal::Fail(failure);
+  }
+  std::optional<entry::DesiredState> in_force;
+  if (!command.against.empty()) {
+    const auto other = internal::ReadText(command.against, failure);
+    in_force = other ? platform::ParseDesiredState(*other, failure) : std::nullopt;
+    if (!in_force) {
+      return internal::Fail(other ? command.against + ": " + failure : failure);
+    }
+  }
+  const platform::ConfigurationReport report = platform::CheckRecord(*text, in_force);
+  fmt::print("{}", command.json ? RenderJson(ReportToJson(report)) : RenderReport(report));
+  return ExitCodeOf(report);
+}
+
+}  // namespace snipeturn::ctl
--- a/src/snipeturnctl/command_line.cc
+++ b/src/snipeturnctl/command_line.cc
@@ -28,10 +28,13 @@
   snipeturnctl [options] status (hosts | upstreams | limits | offsets)
   snipeturnctl [options] wait OFFSET [--timeout=S]
   snipeturnctl [options] drain
+  snipeturnctl [options] check FILE [--against=FILE]
   snipeturnctl --help
   snipeturnctl --version
 
 VALUE is JSON; "null" deletes, and "-" reads the value from standard input.
+"check" reads a configuration of the platform (its record "config") and asks no daemon; FILE "-"
+stands for standard input.
 
 Options:
   --host=ADDR:PORT   Address of a daemon [default: 127.0.0.1:8080].
@@ -41,12 +44,15 @@
   --based-on=N       Refuse the write when the path changed after offset N (a "version" of "get").
                      Without it, changes that the daemon knows already are accepted.
   --writer=NAME      Name that the history shows [default: $USER].
+  --against=FILE     The version in force: print what the checked one changes.
   --timeout=S        Seconds to wait for the offset on all hosts [default: 30].
   -h --help          Print this text.
   --version          Print the version.
 
 Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 daemon not reached, 4 time-out,
-5 outcome unknown.)";
+5 outcome unknown.
+Exit codes of check: 0 nothing found, 1 warnings, 2 errors: daemons refuse the file, 3 a file can't be
+read.)";
 
 /// Maximum size of a value; the daemon accepts no larger request body.
 constexpr std::size_t kMaxInputBytes = 1024 * 1024;
@@ -67,6 +73,7 @@
     command.key = Key();
     command.writer = Text("--writer") == "$USER" ? UserName() : Text("--writer");
     command.subject = Subject();
+    command.against = Text("--against");
     if (Has("--based-on")) {
       command.based_on = Number("--based-on", std::numeric_limits<LogOffset>::max());
     }
@@ -100,7 +107,8 @@
     static const std::vector<std::pair<const char*, Verb>> verbs{
         {"get", Verb::kGet},         {"put", Verb::kPut},     {"list", Verb::kList},
         {"history", Verb::kHistory}, {"out", Verb::kZoneOut}, {"in", Verb::kZoneIn},
-        {"status", Verb::kStatus},   {"wait", Verb::kWait},   {"drain", Verb::kDrain}};
+        {"status", Verb::kStatus},   {"wait", Verb::kWait},   {"drain", Verb::kDrain},
+        {"check", Verb::kCheck}};
     for (const auto& [name, verb] : verbs) {
       if (Has(name)) {
         return verb;
@@ -115,7 +123,12 @@
         return name;
       }
     }
-    return Has("PATH") ? Text("PATH") : Text("ZONE");
+    for (const char* name : {"FILE", "PATH"}) {
+      if (Has(name)) {
+        return Text(name);
+      }
+    }
+    return Text("ZONE");
   }
 
   [[nodiscard]] static std::string UserName() {
--- a/src/snipeturnctl/command_line.h
+++ b/src/snipeturnctl/command_line.h
@@ -22,6 +22,7 @@
   kStatus,
   kWait,
   kDrain,
+  kCheck,
 };
 
 /// A parsed command line.
@@ -33,8 +34,10 @@
   std::string key;
   /// Print the daemon's response as JSON.
   bool json{false};
-  /// Path of a setting, name of a zone or subject of the status.
+  /// Path of a setting, name of a zone, subject of the status or file to check.
   std::string subject;
+  /// File with the version in force, with which the checked one is compared; may be empty.
+  std::string against;
   Json::Value value;
   std::optional<LogOffset> based_on;
   std::string writer;
--- a/src/snipeturnctl/exit_code.h
+++ b/src/snipeturnctl/exit_code.h
@@ -12,4 +12,12 @@
   kUnknown = 5,
 };
 
+/// Exit codes of "snipeturnctl check".
+enum CheckExitCode : int {
+  kClean = 0,
+  kWarnings = 1,
+  kErrors = 2,
+  kUnreadable = 3,
+};
+
 }  // namespace snipeturn::ctl
--- a/src/snipeturnctl/main.cc
+++ b/src/snipeturnctl/main.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/snipeturnctl/check.h"
 #include "src/snipeturnctl/command_line.h"
 #include "src/snipeturnctl/run.h"
 
@@ -18,6 +19,9 @@
     fmt::print(early.code == ExitCode::kDone ? stdout : stderr, "{}\n", early.message);
     return early.code;
   }
+  if (command->verb == snipeturn::ctl::Verb::kCheck) {
+    return snipeturn::ctl::RunCheck(*command);
+  }
   // Without this, libcurl would send the operator's key to a proxy named in the environment. ulfius
   // has no option to prevent that.
   setenv("no_proxy", "*", 1);
--- a/src/snipeturnctl/render.cc
+++ b/src/snipeturnctl/render.cc
@@ -114,6 +114,10 @@
   return internal::Align(values) + tables;
 }
 
+std::string RenderText(const std::string& text) {
+  return internal::Cell(text);
+}
+
 std::string RenderJson(const Json::Value& response) {
   Json::StreamWriterBuilder builder;
   builder["indentation"] = "  ";
--- a/src/snipeturnctl/render.h
+++ b/src/snipeturnctl/render.h
@@ -12,6 +12,9 @@
 /// @return Lines of text.
 [[nodiscard]] std::string RenderTables(const Json::Value& response);
 
+/// @brief Formats a text for a terminal: with control characters it is escaped.
+[[nodiscard]] std::string RenderText(const std::string& text);
+
 /// @brief Formats a response as indented JSON.
 /// @param response Any JSON value.
 /// @return Lines of text.
--- a/src/snipeturnctl/run.cc
+++ b/src/snipeturnctl/run.cc
@@ -196,6 +196,8 @@
       return Wait(command);
     case Verb::kDrain:
       return Drain(command);
+    case Verb::kCheck:
+      break;  // Needs no daemon.
   }
   return {};
 }
--- /dev/null
+++ b/test/process/configuration_check_test.py
@@ -0,0 +1,144 @@
+#!/usr/bin/env python3
+"""Runs "snipeturnctl check" on sound, wrong and hostile configurations."""
+
+import argparse
+import copy
+import json
+import os
+import resource
+import subprocess
+import sys
+import tempfile
+import unittest
+
+BUILD = ""
+# Processor time and memory for a configuration of 10,000 routes.
+MAX_SECONDS, MAX_BYTES = 1.0, 512 << 20
+
+
+def make_route(number, **fields):
+    return {"name": f"r{number}", "host": "a.example", "path_prefix": f"/p{number}/",
+            "kind": "stream", "timeout_ms": 6000, "latency_target_ms": 1500, "priority": 0,
+            "service": "chat", "max_attempts": 1, "public": False, "sticky": True,
+            "resumable": False, "gap_target_ms": 180, **fields}
+
+
+def make_configuration(routes, version=7):
+    return {"version": version, "routes": routes,
+            "services": [{"name": "chat", "health_path": "/health", "max_conns": 252,
+                          "protocol": "h1", "tls": False, "cold_s": 1.0, "cold_per_s": 42.0}],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 4194304,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "t1", "api_keys": ["secret-1", "secret-2"]}]}
+
+
+class ConfigurationCheckTest(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+
+    def write(self, name, content):
+        path = os.path.join(self.folder, name)
+        with open(path, "wb") as file:
+            file.write(content if isinstance(content, bytes) else json.dumps(content).encode())
+        return path
+
+    def check(self, *arguments, stdin=b""):
+        return subprocess.run([os.path.join(BUILD, "snipeturnctl"), "check", *arguments],
+                              input=stdin, capture_output=True, timeout=60)
+
+    def check_text(self, content):
+        return self.check(self.write("checked.json", content))
+
+    # Guards against findings where there is nothing to find, and exit codes that scripts misread.
+    def test_sound_configuration_is_clean(self):
+        sound = make_configuration([make_route(1), make_route(2)])
+        result = self.check_text(sound)
+        self.assertEqual((result.returncode, result.stdout, result.stderr),
+                         (0, b"0 errors, 0 warnings, 0 changes\n", b""))
+        result = self.check("-", stdin=json.dumps(sound).encode())
+        self.assertEqual(result.returncode, 0)
+
+    def test_warnings_and_errors_have_paths_and_codes(self):
+        result = self.check_text(make_configuration([make_route(1), make_route(1, name="again")]))
+        self.assertEqual(result.returncode, 1)
+        self.assertEqual(result.stdout.decode().splitlines(), [
+            "warning: routes[1] (again): never matches: routes[0] (r1) has the same host and path "
+            "prefix", "0 errors, 1 warnings, 0 changes"])
+        wrong = make_configuration([make_route(1, kind="sure", max_attempts="2")])
+        result = self.check_text(wrong)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn(b'error: routes[0].kind: "sure" is not allowed; must be safe, unsafe or stream',
+                      result.stdout)
+        result = self.check("--json", self.write("checked.json", wrong))
+        self.assertEqual(result.returncode, 2)
+        report = json.loads(result.stdout)
+        self.assertEqual([error["path"] for error in report["errors"]], ["routes[0].kind"])
+        self.assertEqual([item["path"] for item in report["warnings"]], ["routes[0].max_attempts"])
+
+    def test_comparison_names_effects_and_no_key(self):
+        before = make_configuration([make_route(1), make_route(2)])
+        after = copy.deepcopy(before)
+        after["routes"].pop()
+        after["tenants"][0]["api_keys"].pop()
+        against = "--against=" + self.write("in_force.json", before)
+        result = self.check(self.write("checked.json", after), against)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn(b"error: version: 7: hosts adopt only a version above 7", result.stdout)
+        after["version"] = 8
+        result = self.check(self.write("checked.json", after), against)
+        self.assertEqual(result.returncode, 0)
+        self.assertEqual(result.stdout.decode().splitlines(), [
+            "removed: route a.example/p2/: its requests get: 404",
+            "changed: organisation t1: callers with 1 of its 2 keys lose access",
+            "0 errors, 0 warnings, 2 changes"])
+        self.assertNotIn(b"secret", result.stdout + result.stderr)
+
+    def test_unreadable_files_are_told_from_wrong_ones(self):
+        for arguments in (["/nonexistent"], [self.folder], ["/dev/zero"],
+                          [self.write("sound.json", make_configuration([])),
+                           "--against=/nonexistent"]):
+            result = self.check(*arguments)
+            self.assertEqual(result.returncode, 3, arguments)
+            self.assertTrue(result.stderr)
+
+    # Guards against a check that ends without a verdict, or obeys what a file holds.
+    def test_hostile_files_end_in_an_error(self):
+        sound = json.dumps(make_configuration([make_route(1)])).encode()
+        for name, content in (
+                ("nested", b"[" * 400_000), ("nested_field", sound[:-1] + b',"a":' + b"[" * 5000),
+                ("number", b"1" * 1_000_000), ("cut", sound[:-20]), ("empty", b""),
+                ("zero", sound + b"\0"), ("two", sound + sound),
+                ("utf8", sound.replace(b'"stream"', b'"\xff\xfe"')),
+                ("terminal", sound.replace(b'"stream"', b'"\x1b[2J"'))):
+            result = self.check_text(content)
+            self.assertEqual(result.returncode, 2, name)
+            self.assertRegex(result.stdout, rb"^error: ", name)
+            self.assertLess(len(result.stdout), 1000, name)
+            self.assertNotIn(b"\x1b", result.stdout, name)
+        result = self.check_text(sound.replace(b'"priority": 0', b'"priority": 0, "priority": 1'))
+        self.assertEqual(result.returncode, 1)
+        self.assertIn(b"a name occurs twice", result.stdout)
+
+    def test_many_routes_take_little_time_and_memory(self):
+        routes = [make_route(number) for number in range(10_000)]
+        moved = [make_route(number, path_prefix=f"/q{number}/") for number in range(10_000)]
+        checked = self.write("checked.json", make_configuration(moved, version=8))
+        in_force = self.write("in_force.json", make_configuration(routes))
+        before = resource.getrusage(resource.RUSAGE_CHILDREN)
+        result = self.check(checked, "--against=" + in_force)
+        after = resource.getrusage(resource.RUSAGE_CHILDREN)
+        self.assertEqual(result.returncode, 0, result.stdout[:500])
+        self.assertIn(b"20000 changes", result.stdout)
+        self.assertLess(after.ru_utime + after.ru_stime - before.ru_utime - before.ru_stime,
+                        MAX_SECONDS)
+        self.assertLess(after.ru_maxrss * 1024, MAX_BYTES)
+
+
+if __name__ == "__main__":
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--build", default="build")
+    options, rest = parser.parse_known_args()
+    BUILD = options.build
+    unittest.main(argv=[sys.argv[0], *rest])
