snipeturnctl check: the product's own settings, against a file or a daemon

Valid trees get warnings for what has no effect (routes that never match by FindRoute(), services without upstreams, models that nobody serves, teams that nobody can call or that have no upstream in service) and a comparison by path with the tree in force, from a file or from a daemon (--against=ADDR:PORT).

--- a/src/snipeturnctl/check.cc
+++ b/src/snipeturnctl/check.cc
@@ -8,14 +8,18 @@
 #include <utility>
 
 #include "platform/configuration.h"
+#include "platform/json.h"
+#include "snipeturn/settings/check.h"
+#include "snipeturn/settings/document.h"
+#include "src/snipeturnctl/http_client.h"
 #include "src/snipeturnctl/render.h"
 
 namespace snipeturn::ctl {
 namespace internal {
 namespace {
 
-/// More than 10,000 routes with the keys of 830 organisations take, and far more than a record of the
-/// store holds. JSON takes some 50 times its size while it is read.
+/// More than 10,000 routes with the keys of 830 organisations take, and far more than a record of
+/// the store holds. JSON takes some 50 times its size while it is read.
 constexpr std::size_t kMaxFileBytes = std::size_t{4} << 20U;
 
 /// Reads a file, or standard input for "-".
@@ -63,6 +67,54 @@
   return list;
 }
 
+/// Finds the settings tree in a JSON object: the object itself, or the value in a response to
+/// "settings get /". A configuration of the platform, whose services are a list, is none.
+std::optional<Json::Value> FindSettingsTree(const Json::Value& root) {
+  if (root.isMember("value") && root["path"] == "/") {
+    return root["value"];
+  }
+  const bool is_tree =
+      !root.isMember("routes") &&
+      (root.isMember("teams") || root.isMember("zones") || root["services"].isObject());
+  return is_tree ? std::optional(root) : std::nullopt;
+}
+
+/// Reads the settings tree of a file that holds one.
+std::optional<Json::Value> ParseSettingsTree(std::string_view text, std::string& failure) {
+  const auto root = platform::ParseObject(text, failure);
+  auto tree = root ? FindSettingsTree(*root) : std::nullopt;
+  if (root && !tree) {
+    failure = "no settings tree";
+  }
+  return tree;
+}
+
+void AddTreeFindings(const std::vector<DocumentFault>& faults,
+                     std::vector<entry::ConfigurationFinding>& findings) {
+  for (const DocumentFault& fault : faults) {
+    findings.push_back(
+        {fault.path, fault.problem + (fault.allowed.empty() ? "" : "; allowed: " + fault.allowed)});
+  }
+}
+
+/// Reads the settings in force from a daemon.
+/// @param failure Receives the error message.
+std::optional<Json::Value> ReadTree(const CommandLine& command, std::string& failure) {
+  HttpRequest request;
+  request.path = "/operator/settings";
+  request.parameters = {{"path", "/"}};
+  const auto response = Send({command.against, command.key}, request);
+  const auto body = response ? platform::ParseObject(response->body) : std::nullopt;
+  if (!response || response->status != 200 || !body || (*body)["ready"] != true ||
+      !(*body)["value"].isObject()) {
+    failure = response ? fmt::format("{}: no settings in the response, status {}", command.against,
+                                     response->status)
+                       : fmt::format("{}: no such file, and no response", command.against);
+    return std::nullopt;
+  }
+  return (*body)["value"];
+}
+
 CheckExitCode Fail(const std::string& message) {
   fmt::print(stderr, "snipeturnctl: {}\n", RenderText(message));
   return CheckExitCode::kUnreadable;
@@ -71,6 +123,25 @@
 }  // namespace
 }  // namespace internal
 
+platform::ConfigurationReport CheckSettingsTree(const Json::Value& tree,
+                                                const std::optional<Json::Value>& in_force) {
+  platform::ConfigurationReport report;
+  internal::AddTreeFindings(FindTreeFaults(tree), report.errors);
+  if (!report.errors.empty()) {
+    return report;
+  }
+  internal::AddTreeFindings(FindUnusedSettings(BuildCatalog(tree)), report.warnings);
+  if (in_force) {
+    for (const SettingsDifference& difference : CompareTrees(*in_force, tree)) {
+      const auto kind = difference.kind == "added"     ? entry::ChangeKind::kAdded
+                        : difference.kind == "removed" ? entry::ChangeKind::kRemoved
+                                                       : entry::ChangeKind::kChanged;
+      report.changes.push_back({kind, difference.path, difference.effect});
+    }
+  }
+  return report;
+}
+
 CheckExitCode ExitCodeOf(const platform::ConfigurationReport& report) noexcept {
   if (!report.errors.empty()) {
     return CheckExitCode::kErrors;
@@ -118,15 +189,25 @@
   if (!text) {
     return internal::Fail(failure);
   }
-  std::optional<entry::DesiredState> in_force;
+  std::string ignored;  // The check itself reports what is wrong with the text.
+  const auto tree = internal::ParseSettingsTree(*text, ignored);
+  std::optional<entry::DesiredState> desired_in_force;
+  std::optional<Json::Value> tree_in_force;
   if (!command.against.empty()) {
     const auto other = internal::ReadText(command.against, failure);
-    in_force = other ? platform::ParseDesiredState(*other, failure) : std::nullopt;
-    if (!in_force) {
+    if (tree) {
+      tree_in_force = other ? internal::ParseSettingsTree(*other, failure)
+                            : internal::ReadTree(command, failure);
+    } else if (other) {
+      desired_in_force = platform::ParseDesiredState(*other, failure);
+    }
+    if (!desired_in_force && !tree_in_force) {
       return internal::Fail(other ? command.against + ": " + failure : failure);
     }
   }
-  const platform::ConfigurationReport report = platform::CheckRecord(*text, in_force);
+  const platform::ConfigurationReport report = tree
+                                                   ? CheckSettingsTree(*tree, tree_in_force)
+                                                   : platform::CheckRecord(*text, desired_in_force);
   fmt::print("{}", command.json ? RenderJson(ReportToJson(report)) : RenderReport(report));
   return ExitCodeOf(report);
 }
--- a/src/snipeturnctl/check.h
+++ b/src/snipeturnctl/check.h
@@ -2,6 +2,7 @@
 
 #include <json/value.h>
 
+#include <optional>
 #include <string>
 
 #include "platform/configuration_report.h"
@@ -10,6 +11,13 @@
 
 namespace snipeturn::ctl {
 
+/// @brief Checks a settings tree of the product.
+/// @param tree The tree: an object with services, teams and zones.
+/// @param in_force The tree in force, with which it is compared, if there is one.
+[[nodiscard]] platform::ConfigurationReport CheckSettingsTree(
+    const Json::Value& tree,
+    const std::optional<Json::Value>& in_force);
+
 /// @brief Exit code for a report.
 [[nodiscard]] CheckExitCode ExitCodeOf(const platform::ConfigurationReport& report) noexcept;
 
--- a/src/snipeturnctl/command_line.cc
+++ b/src/snipeturnctl/command_line.cc
@@ -33,8 +33,8 @@
   snipeturnctl --version
 
 VALUE is JSON; "null" deletes, and "-" reads the value from standard input.
-"check" reads a configuration of the platform (its record "config") and asks no daemon; FILE "-"
-stands for standard input.
+"check" reads a configuration of the platform (its record "config"), or a settings tree as
+"--json settings get /" prints it; FILE "-" stands for standard input.
 
 Options:
   --host=ADDR:PORT   Address of a daemon [default: 127.0.0.1:8080].
@@ -44,15 +44,16 @@
   --based-on=N       Refuse the write when the path changed after offset N (a "version" of "get").
                      Without it, changes that the daemon knows already are accepted.
   --writer=NAME      Name that the history shows [default: $USER].
-  --against=FILE     The version in force: print what the checked one changes.
+  --against=FILE     The version in force, for a settings tree also ADDR:PORT of a daemon: print
+                     what the checked one changes.
   --timeout=S        Seconds to wait for the offset on all hosts [default: 30].
   -h --help          Print this text.
   --version          Print the version.
 
 Exit codes: 0 done, 1 refused or conflict, 2 usage, 3 daemon not reached, 4 time-out,
 5 outcome unknown.
-Exit codes of check: 0 nothing found, 1 warnings, 2 errors: daemons refuse the file, 3 a file can't be
-read.)";
+Exit codes of check: 0 nothing found, 1 warnings, 2 errors: daemons refuse the file, 3 a file can't
+be read or the daemon isn't reached.)";
 
 /// Maximum size of a value; the daemon accepts no larger request body.
 constexpr std::size_t kMaxInputBytes = 1024 * 1024;
--- a/src/snipeturnctl/main.cc
+++ b/src/snipeturnctl/main.cc
@@ -19,9 +19,6 @@
     fmt::print(early.code == ExitCode::kDone ? stdout : stderr, "{}\n", early.message);
     return early.code;
   }
-  if (command->verb == snipeturn::ctl::Verb::kCheck) {
-    return snipeturn::ctl::RunCheck(*command);
-  }
   // Without this, libcurl would send the operator's key to a proxy named in the environment. ulfius
   // has no option to prevent that.
   setenv("no_proxy", "*", 1);
@@ -29,7 +26,9 @@
     fmt::print(stderr, "snipeturnctl: can't initialize the HTTP client\n");
     return ExitCode::kNotReached;
   }
-  const ExitCode code = snipeturn::ctl::Run(*command);
+  const int code = command->verb == snipeturn::ctl::Verb::kCheck
+                       ? static_cast<int>(snipeturn::ctl::RunCheck(*command))
+                       : static_cast<int>(snipeturn::ctl::Run(*command));
   ulfius_global_close();
   return code;
 }
--- a/test/process/configuration_check_test.py
+++ b/test/process/configuration_check_test.py
@@ -3,12 +3,14 @@
 
 import argparse
 import copy
+import http.server
 import json
 import os
 import resource
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 
 BUILD = ""
@@ -32,6 +34,16 @@
             "tenants": [{"name": "t1", "api_keys": ["secret-1", "secret-2"]}]}
 
 
+class SettingsHandler(http.server.BaseHTTPRequestHandler):
+    def do_GET(self):
+        self.send_response(200 if self.path == "/operator/settings?path=%2F" else 404)
+        self.end_headers()
+        self.wfile.write(self.server.body)
+
+    def log_message(self, *_):
+        pass
+
+
 class ConfigurationCheckTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -103,6 +115,37 @@
             self.assertEqual(result.returncode, 3, arguments)
             self.assertTrue(result.stderr)
 
+    def test_settings_tree_is_checked_against_file_and_daemon(self):
+        tree = {"zones": {"z1": {"in_service": True}},
+                "services": {"ops": {"kind": "plain", "upstreams": {"v": {
+                    "address": "127.0.0.1", "port": 81, "zone": "z1", "slots": 1}}}},
+                "teams": {"t": {"organisations": {"big": {"key_sha256": "0" * 64}}, "models": [],
+                                "zones": ["z1"], "applications": [], "routes": []}}}
+        self.assertEqual(self.check_text(tree).returncode, 0)
+        wrong = copy.deepcopy(tree)
+        wrong["zones"]["z1"]["in_service"] = "yes"
+        result = self.check_text(wrong)
+        self.assertEqual(result.returncode, 2)
+        self.assertIn(b"error: /zones/z1/in_service: ", result.stdout)
+        after = copy.deepcopy(tree)
+        after["zones"]["z1"]["in_service"] = False
+        daemon = http.server.HTTPServer(("127.0.0.1", 0), SettingsHandler)
+        self.addCleanup(daemon.server_close)
+        self.addCleanup(daemon.shutdown)
+        daemon.body = json.dumps({"value": tree, "ready": True}).encode()
+        threading.Thread(target=daemon.serve_forever, daemon=True).start()
+        checked = self.write("checked.json", after)
+        for against in (self.write("in_force.json", tree),
+                        self.write("response.json", {"path": "/", "value": tree, "version": 7}),
+                        "127.0.0.1:%d" % daemon.server_address[1]):
+            result = self.check(checked, "--against=" + against)
+            self.assertEqual(result.returncode, 1, result.stderr)
+            self.assertEqual(result.stdout.decode().splitlines(), [
+                "warning: /teams/t/zones: no upstream is in service for this team",
+                "changed: /zones/z1/in_service: the zone leaves service",
+                "0 errors, 1 warnings, 1 changes"])
+        self.assertEqual(self.check(checked, "--against=127.0.0.1:1").returncode, 3)
+
     # Guards against a check that ends without a verdict, or obeys what a file holds.
     def test_hostile_files_end_in_an_error(self):
         sound = json.dumps(make_configuration([make_route(1)])).encode()
