Roll-outs: 64 groups of upstreams and learned rates; bad versions beside failing upstreams are found sooner

With 16 groups and 30 upstreams a sound upstream often shares its group with a failing one, so that groups of the old version fail at all rates and a target's sound groups pass for half failing ones; and each rate of a failing group counted as equally likely, whatever the old version's groups showed.

Change: 64 groups, and the rates of failing groups are weighted by those of the old version's. Groups without responses are skipped. A row in a load table grows by some 12 bytes for each further group that has responses; it is still cut to the datagram.

--- a/src/snipeturn/rollout/evidence.h
+++ b/src/snipeturn/rollout/evidence.h
@@ -36,8 +36,10 @@
 };
 
 /// Number of groups into which the upstreams of a version are divided by a hash of their ids. A
-/// fault of a few upstreams shows in a few groups, a fault of the version in most of them.
-inline constexpr std::size_t kUpstreamGroups = 16;
+/// fault of a few upstreams shows in a few groups, a fault of the version in most of them. With
+/// fewer groups, sound upstreams share theirs with failing ones; each group with responses takes
+/// some 12 bytes of a row.
+inline constexpr std::size_t kUpstreamGroups = 64;
 
 /// What was seen of one version on one route. All counts only grow, so that a row can be sent again
 /// and rows of different hosts can be added.
--- a/src/snipeturn/rollout/verdict.cc
+++ b/src/snipeturn/rollout/verdict.cc
@@ -18,8 +18,8 @@
 /// version's groups, within these limits.
 constexpr double kMinFaultyShare = 0.08;
 constexpr double kMaxFaultyShare = 0.5;
-/// Rates at which such a group fails; each is as likely as the others. The low ones are those of
-/// groups in which one of several upstreams fails.
+/// Rates at which such a group fails. The low ones are those of groups in which one of several
+/// upstreams fails. Before any is seen, each is as likely as the others.
 constexpr std::array kFaultyGroupRates{0.08, 0.15, 0.25, 0.4, 0.6, 0.9};
 /// A group of the old version has faulty upstreams if its failures exceed those of the median group
 /// by this number of standard deviations.
@@ -48,14 +48,28 @@
 
 using Groups = std::array<GroupCounts, kUpstreamGroups>;
 
+using RateWeights = std::array<double, kFaultyGroupRates.size()>;
+
 /// What is usual on a route.
 struct Usual {
   /// Failure rate of sound upstreams, estimated high rather than low.
   double rate{kMinUsualRate};
   /// Share of the groups that have upstreams with a fault of their own.
   double faulty_share{kMinFaultyShare};
+  /// How often such groups fail at each of `kFaultyGroupRates`: the old version's groups, and one
+  /// more that is spread over all rates.
+  RateWeights rate_weights{};
 };
 
+/// Index of the rate that is closest to a failure rate, by their ratio.
+std::size_t NearestRate(double rate) {
+  const auto distance = [rate](double known) { return std::abs(std::log(known / rate)); };
+  const auto nearest =
+      std::min_element(kFaultyGroupRates.begin(), kFaultyGroupRates.end(),
+                       [&](double left, double right) { return distance(left) < distance(right); });
+  return static_cast<std::size_t>(nearest - kFaultyGroupRates.begin());
+}
+
 Usual EstimateUsual(const EvidenceRow* row) {
   std::vector<Sample> samples;
   for (std::size_t group = 0; row != nullptr && group < kUpstreamGroups; ++group) {
@@ -64,6 +78,7 @@
     }
   }
   Usual usual;
+  usual.rate_weights.fill(1.0 / static_cast<double>(kFaultyGroupRates.size()));
   if (samples.empty()) {
     return usual;
   }
@@ -77,6 +92,7 @@
     const double expected = median * sample.responses;
     if (sample.failures > expected + kOutlierDeviations * std::sqrt(expected) + 1) {
       faulty += 1;
+      usual.rate_weights.at(NearestRate(Rate(sample))) += 1;
     } else {
       sound.responses += sample.responses;
       sound.failures += sample.failures;
@@ -94,15 +110,17 @@
          (sample.responses - sample.failures) * std::log(1 - rate);
 }
 
-/// Logarithm of a mean of numbers that are given by their logarithms.
+/// Logarithm of a weighted mean of numbers that are given by their logarithms.
 template <std::size_t kCount>
-double LogMean(const std::array<double, kCount>& logs) {
+double LogMean(const std::array<double, kCount>& logs, const std::array<double, kCount>& weights) {
   const double highest = *std::max_element(logs.begin(), logs.end());
   double sum = 0;
-  for (const double value : logs) {
-    sum += std::exp(value - highest);
+  double total = 0;
+  for (std::size_t index = 0; index < kCount; ++index) {
+    sum += weights.at(index) * std::exp(logs.at(index) - highest);
+    total += weights.at(index);
   }
-  return highest + std::log(sum / static_cast<double>(kCount));
+  return highest + std::log(sum / total);
 }
 
 /// The target's groups on a route, and what is usual there.
@@ -117,6 +135,7 @@
   double sound = 0;
   double faulty_share = kMinFaultyShare;
   std::array<double, kFaultyGroupRates.size()> faulty{};
+  RateWeights weights{};
   for (const RouteCounts& route : routes) {
     const Sample sample = ToSample(route.groups->at(group));
     const double rate = std::min(0.95, route.usual.rate + excess);
@@ -124,11 +143,12 @@
     for (std::size_t index = 0; index < faulty.size(); ++index) {
       const double faulty_rate = rate + (1 - rate) * kFaultyGroupRates.at(index);
       faulty.at(index) += LogLikelihood(sample, std::min(0.995, faulty_rate));
+      weights.at(index) += route.usual.rate_weights.at(index);
     }
     faulty_share = std::max(faulty_share, route.usual.faulty_share);
   }
   sound += std::log(1 - faulty_share);
-  const double other = std::log(faulty_share) + LogMean(faulty);
+  const double other = std::log(faulty_share) + LogMean(faulty, weights);
   const double highest = std::max(sound, other);
   return highest + std::log(std::exp(sound - highest) + std::exp(other - highest));
 }
@@ -138,12 +158,20 @@
 double ScoreFailures(const std::vector<RouteCounts>& routes) {
   std::array<double, kExcessRates.size()> scores{};
   for (std::size_t group = 0; group < kUpstreamGroups; ++group) {
+    const bool has_responses = std::any_of(
+        routes.begin(), routes.end(),
+        [&](const RouteCounts& route) { return route.groups->at(group).responses > 0; });
+    if (!has_responses) {
+      continue;
+    }
     const double usual = GroupLikelihood(routes, group, 0);
     for (std::size_t index = 0; index < scores.size(); ++index) {
       scores.at(index) += GroupLikelihood(routes, group, kExcessRates.at(index)) - usual;
     }
   }
-  return LogMean(scores);
+  std::array<double, kExcessRates.size()> weights{};
+  weights.fill(1);
+  return LogMean(scores, weights);
 }
 
 double Mean(const LogTimes& times) noexcept {
