--- a/src/snipeturn/loop/rollout_codec.cc
+++ b/src/snipeturn/loop/rollout_codec.cc
@@ -34,8 +34,8 @@
 constexpr double kMaxScaledSum = 9e15;
 
 constexpr char kRolloutsKey[] = "rollouts";
-/// Eras of the published states, in the order of the roll-outs; 0 for those that have none. They are
-/// no column, since hosts of an earlier version drop longer elements.
+/// Eras of the published states, in the order of the roll-outs; 0 for those that have none. They
+/// are no column, since hosts of an earlier version drop longer elements.
 constexpr char kPublishedErasKey[] = "rollout_eras";
 
 constexpr std::array kStates{entry::RolloutState::kRunning, entry::RolloutState::kSucceeded,
--- a/src/snipeturn/settings/check.cc
+++ b/src/snipeturn/settings/check.cc
@@ -9,6 +9,7 @@
 #include <set>
 #include <utility>
 
+#include "snipeturn/settings/catalog.h"
 #include "snipeturn/settings/document.h"
 #include "snipeturn/settings/path.h"
 
@@ -199,7 +200,8 @@
   return faults;
 }
 
-std::vector<DocumentFault> FindUnusedSettings(const Catalog& catalog) {
+std::vector<DocumentFault> FindUnusedSettings(const Json::Value& tree) {
+  const Catalog catalog = BuildCatalog(tree);
   std::vector<DocumentFault> findings;
   for (const auto& [name, team] : catalog.teams) {
     internal::CheckTeam(catalog, team, findings);
--- a/src/snipeturn/settings/check.h
+++ b/src/snipeturn/settings/check.h
@@ -5,7 +5,6 @@
 #include <string>
 #include <vector>
 
-#include "snipeturn/settings/catalog.h"
 #include "snipeturn/settings/schema.h"
 
 namespace snipeturn {
@@ -27,9 +26,9 @@
 [[nodiscard]] std::vector<DocumentFault> FindTreeFaults(const Json::Value& tree);
 
 /// @brief Finds settings that are valid but have no effect, or contradict one another.
-/// @param catalog The typed view of a valid tree.
+/// @param tree A tree without faults.
 /// @return The findings; `allowed` is empty.
-[[nodiscard]] std::vector<DocumentFault> FindUnusedSettings(const Catalog& catalog);
+[[nodiscard]] std::vector<DocumentFault> FindUnusedSettings(const Json::Value& tree);
 
 /// @brief Compares two settings trees.
 /// @param before The tree in force.
--- a/src/snipeturn_entry/main.cc
+++ b/src/snipeturn_entry/main.cc
@@ -57,8 +57,7 @@
   std::ifstream file(path);
   if (!file) {
     platform::ParsedSettings unreadable;
-    unreadable.faults.push_back(
-        {platform::FaultEffect::kRefused, "", "can't open the file"});
+    unreadable.faults.push_back({platform::FaultEffect::kRefused, "", "can't open the file"});
     return unreadable;
   }
   const std::string text{std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>()};
@@ -162,9 +161,9 @@
     settings_time_ = ModificationTime(path_);
     const auto [settings, faults] = ReadSettings(path_);
     if (!settings) {
-      runtime_.Log({entry::log_events::kReloadFailed,
-                    fmt::format("reason=\"{}\"",
-                                JoinFaults(faults, platform::FaultEffect::kRefused))});
+      runtime_.Log(
+          {entry::log_events::kReloadFailed,
+           fmt::format("reason=\"{}\"", JoinFaults(faults, platform::FaultEffect::kRefused))});
       return;
     }
     follower_.SetStore(settings->store);
--- a/src/snipeturnctl/check.cc
+++ b/src/snipeturnctl/check.cc
@@ -10,7 +10,6 @@
 #include "platform/configuration.h"
 #include "platform/json.h"
 #include "snipeturn/settings/check.h"
-#include "snipeturn/settings/document.h"
 #include "src/snipeturnctl/http_client.h"
 #include "src/snipeturnctl/render.h"
 
@@ -130,7 +129,7 @@
   if (!report.errors.empty()) {
     return report;
   }
-  internal::AddTreeFindings(FindUnusedSettings(BuildCatalog(tree)), report.warnings);
+  internal::AddTreeFindings(FindUnusedSettings(tree), report.warnings);
   if (in_force) {
     for (const SettingsDifference& difference : CompareTrees(*in_force, tree)) {
       const auto kind = difference.kind == "added"     ? entry::ChangeKind::kAdded
--- a/test/snipeturn/entry/rollout_hosts_test.cc
+++ b/test/snipeturn/entry/rollout_hosts_test.cc
@@ -127,8 +127,8 @@
     }
   }
 
-  /// Lets the store return from a copy that has the order, but not how it ended. Each host learns of
-  /// it later than the one before, while tables from before are on their way.
+  /// Lets the store return from a copy that has the order, but not how it ended. Each host learns
+  /// of it later than the one before, while tables from before are on their way.
   void ReturnStoreWithoutEnd(std::chrono::milliseconds delay) {
     era += 1;
     end = 1;
--- a/test/snipeturn/entry/rollouts_test.cc
+++ b/test/snipeturn/entry/rollouts_test.cc
@@ -142,8 +142,7 @@
   loses_next_response = true;
   ServeWell(3s);
   CHECK(states == States{RolloutState::kRunning});
-  CHECK(state.rollouts.at("plain").active->published ==
-        RecordedState{RolloutState::kRunning, 0});
+  CHECK(state.rollouts.at("plain").active->published == RecordedState{RolloutState::kRunning, 0});
 }
 
 // Guards against a final state that is lost with a store that comes back from a copy.
--- a/test/snipeturn/settings/check_test.cc
+++ b/test/snipeturn/settings/check_test.cc
@@ -56,7 +56,7 @@
 std::vector<std::string> UnusedAfter(const std::string& path, const std::string& value) {
   const Json::Value tree = With(path, value);
   REQUIRE(FindTreeFaults(tree).empty());
-  return Lines(FindUnusedSettings(BuildCatalog(tree)));
+  return Lines(FindUnusedSettings(tree));
 }
 
 std::vector<std::string> ChangesAfter(const std::string& path, const std::string& value) {
@@ -71,7 +71,7 @@
 
 TEST_CASE("settingsCheck_soundTree_nothingFound", "[settings]") {
   CHECK(FindTreeFaults(Parse(kTree)).empty());
-  CHECK(Lines(FindUnusedSettings(BuildCatalog(Parse(kTree)))) == Texts{});
+  CHECK(Lines(FindUnusedSettings(Parse(kTree))) == Texts{});
   CHECK(CompareTrees(Parse(kTree), Parse(kTree)).empty());
 }
 
@@ -152,7 +152,7 @@
     CAPTURE(CompactJson(tree));
     CHECK(FindTreeFaults(tree).empty() == is_accepted);
     if (is_accepted) {
-      (void)FindUnusedSettings(BuildCatalog(tree));
+      (void)FindUnusedSettings(tree);
     }
   }
   CHECK(refused > kTrees / 10);
