Routing: host names are compared without regard to case

A caller whose client writes "Host: A.Example" got 404 no_route for a route of a.example, and a route that an operator writes in capitals was found by nobody else; host names are the same in any case (RFC 9110, section 4.2.3). Found while the check of the configuration was held against the routing. The codec turns the host of a request into lower case, the parser that of a route; the Host header is forwarded unchanged.

--- a/src/snipeturn/entry/desired_state.h
+++ b/src/snipeturn/entry/desired_state.h
@@ -23,6 +23,7 @@
 /// Requests of one host name and path prefix.
 struct Route {
   std::string name;
+  /// In lower case.
   std::string host;
   /// Begins and ends with a slash.
   std::string path_prefix;
--- a/src/snipeturn/entry/routing.h
+++ b/src/snipeturn/entry/routing.h
@@ -8,7 +8,7 @@
 
 /// @brief Finds the route of a request: equal host name, longest matching path prefix.
 /// @param desired The configuration in force.
-/// @param host Host name without a port.
+/// @param host Host name without a port, in lower case as those of the routes.
 /// @param path Path, with or without a query.
 /// @return The route, or nullptr when none matches.
 [[nodiscard]] const Route* FindRoute(const DesiredState& desired,
--- a/src/snipeturn/loop/http_head.cc
+++ b/src/snipeturn/loop/http_head.cc
@@ -61,6 +61,12 @@
          });
 }
 
+std::string ToLowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(), internal::LowerCase);
+  return lower;
+}
+
 const std::string* FindField(const HttpHead& head, std::string_view name) noexcept {
   for (const HeaderField& field : head.fields) {
     if (EqualsIgnoringCase(field.name, name)) {
--- a/src/snipeturn/loop/http_head.h
+++ b/src/snipeturn/loop/http_head.h
@@ -33,6 +33,9 @@
 /// @brief Compares ASCII text such as field names, ignoring case.
 [[nodiscard]] bool EqualsIgnoringCase(std::string_view left, std::string_view right) noexcept;
 
+/// @brief Converts ASCII letters to lower case.
+[[nodiscard]] std::string ToLowerCase(std::string_view text);
+
 /// @brief Finds a header field.
 /// @param head The head.
 /// @param name The field's name; case is ignored.
--- a/test/platform/configuration_test.cc
+++ b/test/platform/configuration_test.cc
@@ -78,6 +78,14 @@
   }
 }
 
+// Guards against a route that no request finds, since host names of requests are in lower case.
+TEST_CASE("desiredState_hostInCapitals_lowerCase", "[platform]") {
+  std::string failure;
+  const auto desired = ParseDesiredState(With("a.example", "A.Example"), failure);
+  REQUIRE(desired);
+  CHECK(desired->routes[0].host == "a.example");
+}
+
 // Guards against routes that need no key since the list of organisations can't be read.
 TEST_CASE("desiredState_tenantsOfOtherType_rejected", "[platform]") {
   for (const std::string tenants : {"{}", "7", "\"x\"", "true"}) {
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -51,6 +51,15 @@
   CHECK(decoded.head->key == "secret");
 }
 
+// Guards against a caller who gets 404 since its client writes the host name in capitals, in which
+// it is the same (RFC 9110, section 4.2.3).
+TEST_CASE_METHOD(WireCodecFixture, "requestHost_capitals_lowerCase", "[platform]") {
+  head.fields[0].value = "A.Example:80";
+  const loop::DecodedRequest decoded = codec.decode_request(head);
+  REQUIRE(decoded.head);
+  CHECK(decoded.head->host == "a.example");
+}
+
 // Guards against a prompt part that is identified differently on two hosts or in two requests.
 TEST_CASE_METHOD(WireCodecFixture, "promptParts_anySyntax_decodedInOrder", "[platform]") {
   const auto parts_of = [this](const std::string& text) {
