--- a/src/snipeturn/settings/check.cc
+++ b/src/snipeturn/settings/check.cc
@@ -79,6 +79,9 @@
       findings.push_back({path + "/models", fmt::format("no upstream serves model {}", model), ""});
     }
   }
+  if (team.models.empty() && team.routes.empty()) {
+    findings.push_back({path, "neither models nor routes: its organisations can call nothing", ""});
+  }
   if (team.models.empty() != team.applications.empty()) {
     findings.push_back({path + (team.models.empty() ? "/models" : "/applications"),
                         "empty: the team can't generate with models", ""});
--- a/test/process/configuration_check_test.py
+++ b/test/process/configuration_check_test.py
@@ -120,7 +120,10 @@
                 "services": {"ops": {"kind": "plain", "upstreams": {"v": {
                     "address": "127.0.0.1", "port": 81, "zone": "z1", "slots": 1}}}},
                 "teams": {"t": {"organisations": {"big": {"key_sha256": "0" * 64}}, "models": [],
-                                "zones": ["z1"], "applications": [], "routes": []}}}
+                                "zones": ["z1"], "applications": [], "routes": [{
+                                    "service": "ops", "method": "POST", "path": "/status",
+                                    "idempotent": True, "class": "short",
+                                    "deadline_ms": 1000}]}}}
         self.assertEqual(self.check_text(tree).returncode, 0)
         wrong = copy.deepcopy(tree)
         wrong["zones"]["z1"]["in_service"] = "yes"
--- a/test/snipeturn/settings/check_test.cc
+++ b/test/snipeturn/settings/check_test.cc
@@ -84,6 +84,10 @@
         Texts{"/teams/t/zones: no upstream is in service for this team"});
   CHECK(UnusedAfter("/teams/t/organisations", "{}") ==
         Texts{"/teams/t/organisations: empty: nobody can call as this team"});
+  CHECK(UnusedAfter("/teams/t", R"({"organisations": {}, "models": [], "zones": ["z1"],
+                                    "applications": [], "routes": []})") ==
+        Texts{"/teams/t/organisations: empty: nobody can call as this team",
+              "/teams/t: neither models nor routes: its organisations can call nothing"});
   CHECK(UnusedAfter("/teams/t/applications", "[]") ==
         Texts{"/teams/t/applications: empty: the team can't generate with models"});
   CHECK(UnusedAfter("/services/llm/upstreams/u/cold_slots", "5") ==
