--- a/test/platform/configuration_test.cc
+++ b/test/platform/configuration_test.cc
@@ -153,6 +153,29 @@
         "belong to t2");
 }
 
+// Guards against keys of callers in messages and logs when an operator puts them into a wrong
+// field.
+TEST_CASE("configuration_keysInOtherFields_hidden", "[platform]") {
+  const std::string priority = R"("priority":1},{"name":"t2")";
+  for (const std::string& text : {With(R"("name":"t2")", R"("name":["k1"])"),
+                                  With(R"({"name":"t2","api_keys":["k3"]})", R"("k1")"),
+                                  With(priority, R"("priority":"k1"},{"name":"t2")"),
+                                  With(priority, R"("api_key":"k1"},{"name":"t2")"),
+                                  With(priority, R"("k1":"t1"},{"name":"t2")")}) {
+    const ParsedConfiguration parsed = ParseConfiguration(text);
+    std::size_t faults = 0;
+    for (const Fault& fault : parsed.faults.faults()) {
+      CHECK(ToString(fault).find("k1") == std::string::npos);
+      faults += fault.path.rfind("tenants", 0) == 0 ? 1 : 0;
+    }
+    CHECK(faults > 0);
+  }
+  CHECK(
+      Lines(ParseConfiguration(With(priority, R"("priority":"k1"},{"name":"t2")")),
+            FaultEffect::kDefaultUsed) ==
+      std::vector<std::string>{"tenants[0].priority: a string is not allowed; must be an integer"});
+}
+
 // Guards against log lines as long as the record.
 TEST_CASE("configuration_longSyntaxError_cut", "[platform]") {
   std::string failure;
