snipeturnctl check: compares a configuration with the one in the store

Ruled out: asking a host. No interface of a daemon shows the configuration, which holds callers' keys, and the host may have an older version than the store.

A store that can't be read, and a record that is missing, deleted or unreadable, end in exit code 3 and never pass for "no difference".

Tests: test_configuration_is_compared_with_the_store fails on the program before ("can't be read"), passes after; test_silent_store_ends_in_time passes on both (before, no store is asked).

--- a/src/snipeturnctl/check.cc
+++ b/src/snipeturnctl/check.cc
@@ -9,6 +9,7 @@
 
 #include "platform/configuration.h"
 #include "platform/json.h"
+#include "platform/store_query.h"
 #include "snipeturn/settings/check.h"
 #include "src/snipeturnctl/http_client.h"
 #include "src/snipeturnctl/render.h"
@@ -114,6 +115,39 @@
   return (*body)["value"];
 }
 
+/// Reads the settings in force from a file, or from a daemon.
+/// @param failure Receives the error message.
+std::optional<Json::Value> ReadTreeInForce(const CommandLine& command, std::string& failure) {
+  const auto text = ReadText(command.against, failure);
+  if (!text) {
+    return ReadTree(command, failure);
+  }
+  auto tree = ParseSettingsTree(*text, failure);
+  failure = fmt::format("{}: {}", command.against, failure);
+  return tree;
+}
+
+/// Reads the platform's configuration in force from a file, or from the platform's store.
+/// @param failure Receives the error message.
+std::optional<entry::DesiredState> ReadDesiredInForce(const CommandLine& command,
+                                                      std::string& failure) {
+  auto text = ReadText(command.against, failure);
+  const auto store = platform::ParseEndpoint(command.against);
+  if (!text && store) {
+    text = platform::ReadConfigurationRecord(*store, failure);
+    if (!text) {
+      failure =
+          fmt::format("{}: no such file, and not read from a store: {}", command.against, failure);
+    }
+  }
+  if (!text) {
+    return std::nullopt;
+  }
+  auto desired = platform::ParseDesiredState(*text, failure);
+  failure = fmt::format("{}: {}", command.against, failure);
+  return desired;
+}
+
 CheckExitCode Fail(const std::string& message) {
   fmt::print(stderr, "snipeturnctl: {}\n", RenderText(message));
   return CheckExitCode::kUnreadable;
@@ -193,15 +227,13 @@
   std::optional<entry::DesiredState> desired_in_force;
   std::optional<Json::Value> tree_in_force;
   if (!command.against.empty()) {
-    const auto other = internal::ReadText(command.against, failure);
     if (tree) {
-      tree_in_force = other ? internal::ParseSettingsTree(*other, failure)
-                            : internal::ReadTree(command, failure);
-    } else if (other) {
-      desired_in_force = platform::ParseDesiredState(*other, failure);
+      tree_in_force = internal::ReadTreeInForce(command, failure);
+    } else {
+      desired_in_force = internal::ReadDesiredInForce(command, failure);
     }
     if (!desired_in_force && !tree_in_force) {
-      return internal::Fail(other ? command.against + ": " + failure : failure);
+      return internal::Fail(failure);
     }
   }
   const platform::ConfigurationReport report = tree
--- a/src/snipeturnctl/command_line.cc
+++ b/src/snipeturnctl/command_line.cc
@@ -44,8 +44,8 @@
   --based-on=N       Refuse the write when the path changed after offset N (a "version" of "get").
                      Without it, changes that the daemon knows already are accepted.
   --writer=NAME      Name that the history shows [default: $USER].
-  --against=FILE     The version in force, for a settings tree also ADDR:PORT of a daemon: print
-                     what the checked one changes.
+  --against=FILE     The version in force, also ADDR:PORT of the platform's store, for a settings
+                     tree of a daemon: print what the checked one changes.
   --timeout=S        Seconds to wait for the offset on all hosts [default: 30].
   -h --help          Print this text.
   --version          Print the version.
--- a/test/process/configuration_check_test.py
+++ b/test/process/configuration_check_test.py
@@ -2,16 +2,20 @@
 """Runs "snipeturnctl check" on sound, wrong and hostile configurations."""
 
 import argparse
+import base64
 import copy
 import http.server
 import json
 import os
 import resource
+import socket
 import subprocess
 import sys
 import tempfile
 import threading
+import time
 import unittest
+import urllib.parse
 
 BUILD = ""
 # Processor time and memory for a configuration of 10,000 routes.
@@ -44,6 +48,30 @@
         pass
 
 
+class StoreHandler(http.server.BaseHTTPRequestHandler):
+    """The platform's store: a page for each record of the configuration's topic."""
+
+    def do_GET(self):
+        call = urllib.parse.urlsplit(self.path)
+        fields = dict(urllib.parse.parse_qsl(call.query))
+        keys = sorted(self.server.records)
+        if call.path != "/api/log-newest" or fields["topic"] != "keyed.op" or not keys:
+            self.send_error(404)
+            return
+        key = next(key for key in keys if key > fields.get("after", ""))
+        item = {"key": key, "offset": 3}
+        if self.server.records[key] is not None:
+            item["value"] = base64.b64encode(self.server.records[key]).decode()
+        body = json.dumps({"items": [item], "has_more": key != keys[-1], "end": 4}).encode()
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
 class ConfigurationCheckTest(unittest.TestCase):
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
@@ -60,6 +88,14 @@
         return subprocess.run([os.path.join(BUILD, "snipeturnctl"), "check", *arguments],
                               input=stdin, capture_output=True, timeout=60)
 
+    def serve(self, handler):
+        """Starts a server on loopback; returns it."""
+        server = http.server.HTTPServer(("127.0.0.1", 0), handler)
+        self.addCleanup(server.server_close)
+        self.addCleanup(server.shutdown)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
+
     def check_text(self, content):
         return self.check(self.write("checked.json", content))
 
@@ -107,6 +143,37 @@
             "0 errors, 0 warnings, 2 changes"])
         self.assertNotIn(b"secret", result.stdout + result.stderr)
 
+    def test_configuration_is_compared_with_the_store(self):
+        store = self.serve(StoreHandler)
+        before = make_configuration([make_route(1), make_route(2)])
+        checked = self.write("checked.json", make_configuration([make_route(1)], version=8))
+        against = "--against=127.0.0.1:%d" % store.server_address[1]
+        store.records = {"a": b"{}", "config": json.dumps(before).encode(), "z": b"{}"}
+        result = self.check(checked, against)
+        self.assertEqual((result.returncode, result.stderr), (0, b""))
+        self.assertEqual(result.stdout.decode().splitlines(), [
+            "removed: route a.example/p2/: its requests get: 404",
+            "0 errors, 0 warnings, 1 changes"])
+        # Guards against a missing or wrong version in force that passes for no difference.
+        for records, message in (({}, b"status 404"), ({"z": b"{}"}, b"no configuration"),
+                                 ({"config": None}, b"was deleted"),
+                                 ({"config": b"{"}, b"not JSON"),
+                                 ({"config": b"{}"}, b"version: missing")):
+            store.records = records
+            result = self.check(checked, against)
+            self.assertEqual((result.returncode, result.stdout), (3, b""), records)
+            self.assertIn(message, result.stderr)
+        self.assertEqual(self.check(checked, "--against=127.0.0.1:1").returncode, 3)
+
+    def test_silent_store_ends_in_time(self):
+        with socket.create_server(("127.0.0.1", 0)) as silent:
+            start = time.monotonic()
+            result = self.check(self.write("checked.json", make_configuration([])),
+                                "--against=127.0.0.1:%d" % silent.getsockname()[1])
+            self.assertEqual(result.returncode, 3)
+            self.assertTrue(result.stderr)
+            self.assertLess(time.monotonic() - start, 15)
+
     def test_unreadable_files_are_told_from_wrong_ones(self):
         for arguments in (["/nonexistent"], [self.folder], ["/dev/zero"],
                           [self.write("sound.json", make_configuration([])),
@@ -132,11 +199,8 @@
         self.assertIn(b"error: /zones/z1/in_service: ", result.stdout)
         after = copy.deepcopy(tree)
         after["zones"]["z1"]["in_service"] = False
-        daemon = http.server.HTTPServer(("127.0.0.1", 0), SettingsHandler)
-        self.addCleanup(daemon.server_close)
-        self.addCleanup(daemon.shutdown)
+        daemon = self.serve(SettingsHandler)
         daemon.body = json.dumps({"value": tree, "ready": True}).encode()
-        threading.Thread(target=daemon.serve_forever, daemon=True).start()
         checked = self.write("checked.json", after)
         for against in (self.write("in_force.json", tree),
                         self.write("response.json", {"path": "/", "value": tree, "version": 7}),
