--- a/src/snipeturn/rollout/verdict.cc
+++ b/src/snipeturn/rollout/verdict.cc
@@ -8,8 +8,9 @@
 namespace snipeturn::rollout {
 namespace {
 
-/// Failure rates above the usual one that are looked for; each is as likely as the others. With
-/// gaps as wide as those of kFaultyGroupRates, a rate in one fits failing upstreams better.
+/// Failure rates above the usual one that are looked for; each is as likely as the others. They are
+/// closer together than `kFaultyGroupRates`, so that a version whose rate lies between two of them
+/// isn't taken for failing upstreams.
 constexpr std::array kExcessRates{0.05, 0.10, 0.20, 0.30, 0.45, 0.60, 0.95};
 /// Least usual failure rate that is assumed. Keeps a few failures from weighing too much.
 constexpr double kMinUsualRate = 0.005;
--- a/src/snipeturnctl/check.cc
+++ b/src/snipeturnctl/check.cc
@@ -123,7 +123,9 @@
     return ReadTree(command, failure);
   }
   auto tree = ParseSettingsTree(*text, failure);
-  failure = fmt::format("{}: {}", command.against, failure);
+  if (!tree) {
+    failure = fmt::format("{}: {}", command.against, failure);
+  }
   return tree;
 }
 
@@ -144,7 +146,9 @@
     return std::nullopt;
   }
   auto desired = platform::ParseDesiredState(*text, failure);
-  failure = fmt::format("{}: {}", command.against, failure);
+  if (!desired) {
+    failure = fmt::format("{}: {}", command.against, failure);
+  }
   return desired;
 }
 
