Quarantine: a deadly prompt part is found among any number of parts

Cause: the adapter read the first 32 parts of the first Prompt-Prefix field and dropped the others without a trace; hosts rejected reports with more. A bound that silently drops what a decision needs.

Ruled out: a larger constant. Each lost prompt stood with all its parts in the crash log of all hosts, in messages, in the store's record and in log lines.

Change: all parts of all fields are read, bounded by the largest head. Hosts keep the parts of their lost prompts and tell the others only those that three crashes have in common; one host collects compact summaries and compares them. Part ids have 32 bits. Suspicions aren't bounded at four any more; evidence is bounded by memory_mb, drops the least useful first, and says so (line 856 and a counter).

Checks changed: promptParts_anySyntax_decodedInOrder asked for at most 32 parts, which was the fault; promptParts_longList_allDecoded asks for all of them in memory of the order of the head. The round trip of crash reports uses a part of 32 bits, as the type has.

The new unit tests fail before: they need fields of the change, or ask for the parts that were dropped.

--- a/src/snipeturn/entry/catalogue.h
+++ b/src/snipeturn/entry/catalogue.h
@@ -62,6 +62,9 @@
 inline constexpr LogEvent kPartsReleased{853, "parts_released", LogLevel::kInfo};
 inline constexpr LogEvent kQuarantineTrial{854, "quarantine_trial", LogLevel::kInfo};
 
+inline constexpr LogEvent kPartsCollected{855, "crash_parts_collected", LogLevel::kInfo};
+inline constexpr LogEvent kCrashEvidenceDropped{856, "crash_evidence_dropped", LogLevel::kWarning};
+
 inline constexpr LogEvent kCallerClosed{809, "caller_closed", LogLevel::kWarning};
 inline constexpr LogEvent kLimitStated{861, "upstream_limit_stated", LogLevel::kWarning};
 inline constexpr LogEvent kLimitEnded{862, "upstream_limit_ended", LogLevel::kInfo};
@@ -83,6 +86,7 @@
 
 inline constexpr CounterName kEntryMoves{"snipeturn_moves_total", "result"};
 inline constexpr CounterName kQuarantines{"snipeturn_quarantines_total", "change"};
+inline constexpr CounterName kCrashEvidenceDrops{"snipeturn_crash_evidence_dropped_total", "kind"};
 inline constexpr CounterName kUpstreamSignals{"snipeturn_upstream_signals_total", "signal"};
 inline constexpr CounterName kKeptBack{"snipeturn_kept_back_total", "signal"};
 inline constexpr CounterName kStoreReturns{"snipeturn_store_returns_total", "source"};
--- a/src/snipeturn/entry/crash_reports.cc
+++ b/src/snipeturn/entry/crash_reports.cc
@@ -4,6 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -14,6 +17,8 @@
 #include "snipeturn/entry/cells.h"
 #include "snipeturn/entry/health.h"
 #include "snipeturn/entry/lifecycle.h"
+#include "snipeturn/entry/part_collection.h"
+#include "snipeturn/quarantine/part_set.h"
 
 namespace snipeturn::entry {
 namespace internal {
@@ -32,6 +37,9 @@
 constexpr double kMinRateCorrection = 1.5;
 /// Greatest age of a lost attempt for which the present rate of answers counts.
 constexpr std::chrono::milliseconds kMaxRateAge{1000};
+/// Rows with more parts, or with none, are sent once; hosts that miss one make up for it by
+/// comparing their logs.
+constexpr std::size_t kMaxRepeatedParts{32};
 /// Period of reviews while entries are confirmed, reported and held.
 constexpr std::chrono::milliseconds kReviewInterval{50};
 constexpr std::chrono::milliseconds kIdleReviewInterval{10000};
@@ -41,8 +49,15 @@
 constexpr std::uint64_t kStartSyncRounds{8};
 /// A host without a load table for this long may be down.
 constexpr std::chrono::milliseconds kPeerTtl{3200};
-/// Most crashes in one datagram.
-constexpr std::size_t kMaxCrashesPerReport = 16;
+/// Estimated size of what one datagram holds; receivers read 32 KB.
+constexpr std::size_t kMaxReportBytes = 20000;
+/// Parts of one row of a report; the parts of a longer prompt are told in several rows.
+constexpr std::size_t kMaxRowParts = 3000;
+constexpr std::size_t kRowBytes = 100;
+/// Estimated size of the quarantine in the store's record of a host; the store takes 256 KB.
+constexpr std::size_t kMaxSavedBytes = 128 * 1024;
+constexpr std::size_t kPartBytes = 6;
+constexpr std::size_t kAnswerBytes = 25;
 /// Time from a trial to the next one: a lost trial has been reported by then.
 constexpr std::chrono::milliseconds kMinTrialInterval{2000};
 constexpr std::chrono::milliseconds kMinRetryAfter{1000};
@@ -89,19 +104,58 @@
 ReportedCrash MakeReportedCrash(quarantine::EntryId id,
                                 const quarantine::CrashEntry& entry,
                                 TimePoint now) {
-  return {id, entry.crash, entry.parts, entry.answers_per_second, AgeOf(entry.at, now)};
+  return {id,
+          entry.crash,
+          entry.parts,
+          entry.answers_per_second,
+          AgeOf(entry.at, now),
+          entry.hidden_parts};
 }
 
-/// Sends a report in datagrams of a bounded size.
-void SendReport(EventScope& scope, const std::string& host, CrashReport report) {
-  while (report.crashes.size() > kMaxCrashesPerReport) {
-    CrashReport part;
-    const auto end = report.crashes.begin() + static_cast<std::ptrdiff_t>(kMaxCrashesPerReport);
-    part.crashes.assign(report.crashes.begin(), end);
-    report.crashes.erase(report.crashes.begin(), end);
-    scope.effects.push_back(SendCrashReport{host, std::move(part)});
-  }
-  scope.effects.push_back(SendCrashReport{host, std::move(report)});
+/// Rows in sequence with the same parts tell them once.
+void SortByParts(CrashReport& report) {
+  std::stable_sort(report.crashes.begin(), report.crashes.end(),
+                   [](const auto& left, const auto& right) { return left.parts < right.parts; });
+}
+
+/// Fills datagrams of a bounded size with the rows of a report.
+class ReportSplitter {
+ public:
+  ReportSplitter(EventScope& scope, const std::string& host) : scope_(scope), host_(host) {}
+
+  /// @return The report to which a row of the given size is added.
+  CrashReport& MakeRoom(std::size_t bytes) {
+    if (used_ > 0 && used_ + bytes > kMaxReportBytes) {
+      Flush();
+    }
+    used_ += bytes;
+    return report_;
+  }
+
+  void Flush() {
+    if (used_ > 0) {
+      scope_.effects.push_back(SendCrashReport{host_, std::exchange(report_, {})});
+    }
+    used_ = 0;
+  }
+
+ private:
+  EventScope& scope_;
+  const std::string& host_;
+  CrashReport report_;
+  std::size_t used_{0};
+};
+
+void AddCrash(ReportSplitter& splitter, ReportedCrash crash) {
+  while (crash.parts.size() > kMaxRowParts) {
+    ReportedCrash row = crash;
+    const auto end = crash.parts.begin() + static_cast<std::ptrdiff_t>(kMaxRowParts);
+    row.parts.assign(crash.parts.begin(), end);
+    crash.parts.erase(crash.parts.begin(), end);
+    splitter.MakeRoom(kRowBytes + kMaxRowParts * kPartBytes).crashes.push_back(std::move(row));
+  }
+  const std::size_t bytes = kRowBytes + crash.parts.size() * kPartBytes;
+  splitter.MakeRoom(bytes).crashes.push_back(std::move(crash));
 }
 
 void SendReportTwice(EventScope& scope, CrashReport report) {
@@ -119,7 +173,7 @@
 
 void ConfirmLostAttempts(EventScope& scope) {
   QuarantineState& own = scope.state.quarantine;
-  CrashReport report;
+  std::vector<quarantine::EntryId> confirmed;
   while (!own.unconfirmed.empty() && scope.now - own.unconfirmed.front().at >= kConfirmTime) {
     const QuarantineState::Unconfirmed lost = std::move(own.unconfirmed.front());
     own.unconfirmed.pop_front();
@@ -132,18 +186,18 @@
                           upstream->second.last_response_at &&
                           *upstream->second.last_response_at > lost.at + kMaxReadDelay;
     Log(scope, log_events::kAttemptLostUnstarted,
-        fmt::format("upstream={} upstream_alive={} parts={:x} answers_per_s={:.1f}", lost.upstream,
-                    is_alive, fmt::join(entry->second.parts, ","),
-                    entry->second.answers_per_second));
+        fmt::format("upstream={} upstream_alive={} parts={} hidden_parts={} answers_per_s={:.1f}",
+                    lost.upstream, is_alive, quarantine::FormatParts(entry->second.parts),
+                    entry->second.hidden_parts, entry->second.answers_per_second));
     if (is_alive) {
       own.log.entries.erase(entry);
+      quarantine::RemoveLostPrompt(own.lost, lost.entry);
     } else {
-      report.crashes.push_back(MakeReportedCrash(lost.entry, entry->second, scope.now));
+      DiscloseKnownParts(scope, lost.entry);
+      confirmed.push_back(lost.entry);
     }
   }
-  if (!report.crashes.empty()) {
-    SendReportTwice(scope, std::move(report));
-  }
+  ReportEntries(scope, confirmed);
 }
 
 void ReportAnswers(EventScope& scope) {
@@ -217,6 +271,29 @@
   }
 }
 
+/// Suspects that fit the record in the store, those with the fewest parts first.
+std::vector<const quarantine::Suspect*> SavedSuspects(const State& state) {
+  std::vector<const quarantine::Suspect*> suspects;
+  for (const quarantine::Suspect& suspect : state.quarantine.suspects) {
+    suspects.push_back(&suspect);
+  }
+  std::stable_sort(suspects.begin(), suspects.end(), [](const auto* left, const auto* right) {
+    return left->parts.size() < right->parts.size();
+  });
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  for (; count < suspects.size(); ++count) {
+    // Entries of one suspect tell their parts once.
+    bytes +=
+        suspects[count]->entries.size() * kRowBytes + suspects[count]->parts.size() * kPartBytes;
+    if (bytes > kMaxSavedBytes) {
+      break;
+    }
+  }
+  suspects.resize(count);
+  return suspects;
+}
+
 const quarantine::Suspect* FindSuspect(const State& state,
                                        const std::vector<quarantine::PartId>& parts) {
   const auto& suspects = state.quarantine.suspects;
@@ -271,8 +348,9 @@
       is_wider = true;
       IncrementCounter(scope, kQuarantines, "begun");
       Log(scope, log_events::kPartsQuarantined,
-          fmt::format("parts={:x} crashes={} entries={} trial_in_ms={}",
-                      fmt::join(suspect.parts, ","), suspect.crashes, own.log.entries.size(),
+          fmt::format("parts={} part_count={} crashes={} entries={} trial_in_ms={}",
+                      quarantine::FormatParts(suspect.parts), suspect.parts.size(), suspect.crashes,
+                      own.log.entries.size(),
                       ToMilliseconds(suspect.trial_at - scope.now).count()));
     }
   }
@@ -282,7 +360,7 @@
       own.trials.erase(suspect.parts.front());
       IncrementCounter(scope, kQuarantines, "ended");
       Log(scope, log_events::kPartsReleased,
-          fmt::format("parts={:x}", fmt::join(suspect.parts, ",")));
+          fmt::format("parts={}", quarantine::FormatParts(suspect.parts)));
     }
   }
   own.log.kept.clear();
@@ -290,6 +368,10 @@
     own.log.kept.insert(suspect.entries.begin(), suspect.entries.end());
   }
   if ((has_changed || is_wider) && IsFirstHost(scope.state, scope.now)) {
+    const std::size_t saved = SavedSuspects(scope.state).size();
+    if (saved < own.suspects.size()) {
+      CountDropped(scope, "suspects", own.suspects.size() - saved);
+    }
     scope.effects.push_back(SaveCrashReport{MakeSavedCrashReport(scope.state, scope.now)});
   }
   if (is_wider) {
@@ -299,6 +381,91 @@
 
 }  // namespace
 
+void SendReport(EventScope& scope, const std::string& host, CrashReport report) {
+  ReportSplitter splitter(scope, host);
+  for (ReportedCrash& crash : report.crashes) {
+    AddCrash(splitter, std::move(crash));
+  }
+  for (const ReportedAnswer& answer : report.answers) {
+    splitter.MakeRoom(kAnswerBytes).answers.push_back(answer);
+  }
+  for (quarantine::Sketch& sketch : report.sketches) {
+    // A third more as text.
+    const std::size_t bytes = kRowBytes + sketch.buckets.size() * 4 / 3;
+    splitter.MakeRoom(bytes).sketches.push_back(std::move(sketch));
+  }
+  if (report.common) {
+    const quarantine::PartSet& buckets = report.common->buckets;
+    for (std::size_t begin = 0; begin < buckets.size(); begin += kMaxRowParts) {
+      const std::size_t end = std::min(buckets.size(), begin + kMaxRowParts);
+      splitter.MakeRoom((end - begin) * kPartBytes).common =
+          CommonBuckets{{buckets.begin() + static_cast<std::ptrdiff_t>(begin),
+                         buckets.begin() + static_cast<std::ptrdiff_t>(end)},
+                        report.common->bits,
+                        report.common->asks_for_answers};
+      splitter.Flush();  // A report has one set.
+    }
+  }
+  if (report.answered) {
+    const quarantine::PartSet& parts = report.answered->parts;
+    for (std::size_t begin = 0; begin < parts.size(); begin += kMaxRowParts) {
+      const std::size_t end = std::min(parts.size(), begin + kMaxRowParts);
+      splitter.MakeRoom((end - begin) * kPartBytes).answered =
+          AnsweredParts{{parts.begin() + static_cast<std::ptrdiff_t>(begin),
+                         parts.begin() + static_cast<std::ptrdiff_t>(end)},
+                        report.answered->age};
+      splitter.Flush();
+    }
+  }
+  if (report.sketch_request) {
+    const std::size_t bytes = kRowBytes + report.sketch_request->crashes.size() * kAnswerBytes;
+    splitter.MakeRoom(bytes).sketch_request = std::move(report.sketch_request);
+  }
+  if (report.digest) {
+    CrashReport& last = splitter.MakeRoom(kRowBytes);
+    last.digest = report.digest;
+    last.is_reply = report.is_reply;
+  }
+  splitter.Flush();
+}
+
+void ReportEntries(EventScope& scope, const std::vector<quarantine::EntryId>& ids) {
+  const quarantine::CrashLog& log = scope.state.quarantine.log;
+  CrashReport report;
+  // Entries whose parts the receivers know when they read the present one.
+  std::set<quarantine::EntryId> untold(ids.begin(), ids.end());
+  for (const quarantine::EntryId id : ids) {
+    const auto entry = log.entries.find(id);
+    if (entry != log.entries.end()) {
+      ReportedCrash crash = MakeReportedCrash(id, entry->second, scope.now);
+      if (crash.parts.size() > kMaxRepeatedParts) {
+        const auto same =
+            std::find_if(log.entries.begin(), log.entries.end(), [&](const auto& item) {
+              return untold.count(item.first) == 0 && item.second.parts == crash.parts;
+            });
+        if (same != log.entries.end()) {
+          crash.same_parts_as = same->first;
+          crash.parts.clear();
+        }
+      }
+      report.crashes.push_back(std::move(crash));
+    }
+    untold.erase(id);
+  }
+  if (!report.crashes.empty()) {
+    CrashReport repeat;
+    std::copy_if(report.crashes.begin(), report.crashes.end(), std::back_inserter(repeat.crashes),
+                 [](const ReportedCrash& crash) {
+                   return !crash.parts.empty() && crash.parts.size() <= kMaxRepeatedParts;
+                 });
+    if (!repeat.crashes.empty()) {
+      scope.state.quarantine.repeats.push_back({scope.now + kRepeatDelay, std::move(repeat)});
+    }
+    SendReport(scope, "", std::move(report));
+    ScheduleReview(scope, scope.now);
+  }
+}
+
 void RecordLostAttempt(EventScope& scope,
                        const Request& request,
                        const Attempt& attempt,
@@ -323,10 +490,16 @@
   quarantine::CrashEntry entry;
   entry.crash = Hash(attempt.upstream, static_cast<std::uint64_t>(start_time_ms));
   entry.at = scope.now;
-  entry.parts = request.head.prompt_parts;
+  entry.parts = quarantine::MakePartSet(request.head.prompt_parts);
   entry.answers_per_second = AnswersPerSecond(scope.state, scope.now);
+  const auto inline_prompts = static_cast<std::size_t>(std::count_if(
+      own.unconfirmed.begin(), own.unconfirmed.end(),
+      [&](const auto& lost) { return lost.upstream == attempt.upstream && !lost.is_hidden; }));
+  HideParts(scope, id, entry, inline_prompts);
+  const bool is_hidden = entry.hidden_parts > 0;
+  own.log.max_entries = MaxLogEntries(scope.state.options);
   if (quarantine::AddEntry(own.log, id, std::move(entry))) {
-    own.unconfirmed.push_back({id, attempt.upstream, scope.now});
+    own.unconfirmed.push_back({id, attempt.upstream, scope.now, is_hidden});
     ScheduleReview(scope, scope.now + kConfirmTime);
   }
 }
@@ -337,6 +510,7 @@
   }
   QuarantineState& own = scope.state.quarantine;
   CountOutcome(own.answers, SendOutcome::kAnswered, scope.now);
+  quarantine::RememberAnswer(own.answer_memory, request.head.prompt_parts, scope.now);
   if (quarantine::RecordAnswer(own.log, request.head.prompt_parts, scope.now, false)) {
     ScheduleReview(scope, scope.now);
   }
@@ -358,7 +532,7 @@
   if (scope.now >= suspect->trial_at && !is_tried && IsFirstHost(state, scope.now)) {
     state.quarantine.trials[part] = {key, scope.now};
     Log(scope, log_events::kQuarantineTrial,
-        fmt::format("id={} parts={:x}", head.id, fmt::join(suspect->parts, ",")));
+        fmt::format("id={} parts={}", head.id, quarantine::FormatParts(suspect->parts)));
     return std::nullopt;
   }
   return std::max(kMinRetryAfter, ToMilliseconds(suspect->trial_at - scope.now));
@@ -370,20 +544,51 @@
 
 void HandleCrashReport(EventScope& scope, const CrashReportReceived& event) {
   QuarantineState& own = scope.state.quarantine;
+  own.log.max_entries = MaxLogEntries(scope.state.options);
   bool has_news = false;
   for (const ReportedCrash& crash : event.report.crashes) {
     quarantine::CrashEntry entry;
     entry.crash = crash.crash;
     entry.at = scope.now - crash.age;
     entry.parts = crash.parts;
+    if (crash.same_parts_as) {
+      const auto other = own.log.entries.find(*crash.same_parts_as);
+      if (other == own.log.entries.end()) {
+        continue;  // The report of the other entry was lost; the next comparison makes up for it.
+      }
+      entry.parts = other->second.parts;
+    }
     entry.answers_per_second = crash.answers_per_second;
-    has_news = quarantine::AddEntry(own.log, crash.id, std::move(entry)) || has_news;
+    entry.hidden_parts = crash.hidden_parts;
+    if (crash.hidden_parts > 0) {
+      entry.known_at = scope.now;
+      quarantine::StartRecording(own.answer_memory, AnswerMemoryBytes(scope.state.options));
+    }
+    if (quarantine::AddEntry(own.log, crash.id, std::move(entry))) {
+      has_news = true;
+      ApplyRememberedAnswers(scope, crash.id);
+    }
     CorrectRate(scope, crash.id);
   }
   for (const ReportedAnswer& answer : event.report.answers) {
     has_news =
         quarantine::RecordAnswer(own.log, {answer.part}, scope.now - answer.age, true) || has_news;
   }
+  if (event.report.sketch_request) {
+    HandleSketchRequest(scope, event.host, *event.report.sketch_request);
+  }
+  for (const quarantine::Sketch& sketch : event.report.sketches) {
+    HandleSketch(scope, event.host, sketch);
+    has_news = true;
+  }
+  if (event.report.answered) {
+    HandleAnsweredParts(scope, *event.report.answered);
+    has_news = true;
+  }
+  if (event.report.common) {
+    HandleCommonBuckets(scope, *event.report.common);
+    has_news = true;
+  }
   if (has_news) {
     ScheduleReview(scope, scope.now);
   }
@@ -392,6 +597,7 @@
     for (const auto& [id, entry] : own.log.entries) {
       reply.crashes.push_back(MakeReportedCrash(id, entry, scope.now));
     }
+    SortByParts(reply);
     for (const auto& [part, answer] : own.log.answers) {
       reply.answers.push_back({part, AgeOf(answer.at, scope.now)});
     }
@@ -411,15 +617,26 @@
   SendRepeats(scope);
   AdoptSuspects(scope, quarantine::FindSuspects(own.log, scope.now));
   quarantine::RemoveOldEntries(own.log, scope.now - quarantine::kEntryTtl);
+  quarantine::RemoveOldPrompts(own.lost, scope.now - quarantine::kEntryTtl);
+  const std::optional<TimePoint> collection_due = CollectParts(scope);
+  if (own.log.dropped > own.logged_drops) {
+    CountDropped(scope, "entries", own.log.dropped - own.logged_drops);
+    own.logged_drops = own.log.dropped;
+  }
   const bool has_recent =
       std::any_of(own.log.entries.begin(), own.log.entries.end(), [&scope](const auto& entry) {
-        return scope.now - entry.second.at < quarantine::kHoldTime + kReviewInterval;
+        return scope.now - entry.second.at < quarantine::kHoldTime + kReviewInterval ||
+               scope.now - entry.second.known_at <
+                   quarantine::kDisclosureHoldTime + kReviewInterval;
       });
   if (has_recent || !own.repeats.empty() || !own.rate_corrections.empty() || own.answers_due) {
     ScheduleReview(scope, scope.now + kReviewInterval);
   } else if (!own.log.entries.empty()) {
     ScheduleReview(scope, scope.now + kIdleReviewInterval);
   }
+  if (collection_due) {
+    ScheduleReview(scope, *collection_due);
+  }
 }
 
 void SyncCrashLog(EventScope& scope) {
@@ -448,12 +665,23 @@
   if (!internal::IsFirstHost(state, now)) {
     return report;
   }
-  for (const quarantine::EntryId id : state.quarantine.log.kept) {
+  // The parts of a suspect are all that its entries must prove.
+  std::map<quarantine::EntryId, quarantine::PartSet> parts;
+  for (const quarantine::Suspect* suspect : internal::SavedSuspects(state)) {
+    for (const quarantine::EntryId id : suspect->entries) {
+      parts[id].insert(parts[id].end(), suspect->parts.begin(), suspect->parts.end());
+    }
+  }
+  for (auto& [id, saved] : parts) {
     const auto entry = state.quarantine.log.entries.find(id);
     if (entry != state.quarantine.log.entries.end()) {
-      report.crashes.push_back(internal::MakeReportedCrash(id, entry->second, now));
+      ReportedCrash crash = internal::MakeReportedCrash(id, entry->second, now);
+      crash.parts = quarantine::MakePartSet(std::move(saved));
+      crash.hidden_parts = 0;
+      report.crashes.push_back(std::move(crash));
     }
   }
+  internal::SortByParts(report);
   return report;
 }
 
--- a/src/snipeturn/entry/crash_reports.h
+++ b/src/snipeturn/entry/crash_reports.h
@@ -2,6 +2,8 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "snipeturn/entry/event.h"
 #include "snipeturn/entry/event_scope.h"
@@ -43,6 +45,13 @@
 /// @brief Confirms and reports lost attempts, and applies the quarantines that follow from them.
 void ReviewCrashes(EventScope& scope);
 
+/// @brief Sends a report in datagrams of a bounded size.
+/// @param host The receiver; empty for all hosts.
+void SendReport(EventScope& scope, const std::string& host, CrashReport report);
+
+/// @brief Tells all hosts entries of the crash log, and repeats this once, as datagrams get lost.
+void ReportEntries(EventScope& scope, const std::vector<quarantine::EntryId>& ids);
+
 /// @brief Compares the crash log with that of another host.
 void SyncCrashLog(EventScope& scope);
 
--- a/src/snipeturn/entry/event.h
+++ b/src/snipeturn/entry/event.h
@@ -18,6 +18,8 @@
 #include "snipeturn/entry/store_position.h"
 #include "snipeturn/entry/upstream.h"
 #include "snipeturn/quarantine/fwd.h"
+#include "snipeturn/quarantine/lost_prompts.h"
+#include "snipeturn/quarantine/part_set.h"
 #include "snipeturn/rollout/evidence.h"
 #include "snipeturn/rollout/order.h"
 
@@ -467,6 +469,10 @@
   std::vector<quarantine::PartId> parts;
   double answers_per_second{0};
   std::chrono::milliseconds age{0};
+  /// Further parts, which only the host of the attempt knows.
+  std::uint32_t hidden_parts{0};
+  /// An entry with the same parts, which are left out then.
+  std::optional<quarantine::EntryId> same_parts_as{};
 };
 
 /// An answer that began for a prompt with a part.
@@ -475,7 +481,31 @@
   std::chrono::milliseconds age{0};
 };
 
-/// Parts of a host's crash log.
+/// Asks hosts for summaries of the parts that they lost in crashes.
+struct SketchRequest {
+  std::vector<quarantine::CrashId> crashes;
+  /// Length of the summaries' numbers.
+  int bits{quarantine::kPartBits};
+};
+
+/// Numbers that the summaries of several crashes have in common. The hosts that lost parts with
+/// them tell all hosts these parts.
+struct CommonBuckets {
+  quarantine::PartSet buckets;
+  /// Length of the numbers.
+  int bits{quarantine::kPartBits};
+  /// Hosts that know answers to prompts with the parts report them first, as there are many.
+  bool asks_for_answers{false};
+};
+
+/// Parts of prompts that got answers after the last crash.
+struct AnsweredParts {
+  quarantine::PartSet parts;
+  /// Age of the oldest of the answers.
+  std::chrono::milliseconds age{0};
+};
+
+/// Parts of a host's crash log, and what hosts exchange to fill it.
 struct CrashReport {
   std::vector<ReportedCrash> crashes;
   std::vector<ReportedAnswer> answers;
@@ -483,6 +513,10 @@
   std::optional<std::uint64_t> digest;
   /// Answers a report with a digest.
   bool is_reply{false};
+  std::optional<SketchRequest> sketch_request{};
+  std::vector<quarantine::Sketch> sketches{};
+  std::optional<CommonBuckets> common{};
+  std::optional<AnsweredParts> answered{};
 };
 
 struct CrashReportReceived {
--- a/src/snipeturn/entry/options.h
+++ b/src/snipeturn/entry/options.h
@@ -44,6 +44,8 @@
   std::uint64_t max_upstream_bytes{0};
   /// Bytes of request bodies in flight to one upstream from all hosts; zero means no bound.
   std::uint64_t max_upstream_bytes_of_all{0};
+  /// Memory for what tells which prompt parts crash upstreams; zero means the least that is of use.
+  std::uint64_t max_crash_evidence_bytes{0};
   /// Distribute load by learned speeds; if empty, for services whose upstreams state how long work
   /// takes.
   std::optional<bool> learned_capacity;
--- a/src/snipeturn/entry/outcome.cc
+++ b/src/snipeturn/entry/outcome.cc
@@ -17,6 +17,7 @@
 #include "snipeturn/entry/rollouts.h"
 #include "snipeturn/entry/service_times.h"
 #include "snipeturn/entry/shutdown.h"
+#include "snipeturn/quarantine/part_set.h"
 
 namespace snipeturn::entry::internal {
 namespace {
@@ -229,11 +230,11 @@
     request.last_reason = event.reason.empty() ? std::string(ReasonOf(event.result)) : event.reason;
     Log(scope, log_events::kAttemptFailed,
         fmt::format("id={} upstream={} result={} status={} reason={} after_ms={} events={} "
-                    "disconnected={} parts={:x}",
+                    "disconnected={} parts={}",
                     request.head.id, attempt.upstream, ReasonOf(event.result), event.status,
                     event.reason, ToMilliseconds(scope.now - attempt.sent_at).count(),
                     request.events, event.is_disconnected,
-                    fmt::join(request.head.prompt_parts, ",")));
+                    quarantine::FormatParts(request.head.prompt_parts)));
   }
   if (request.migration || attempt.is_resume) {
     HandleMigratingAttemptEnd(scope, request, attempt, event);
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -19,6 +19,8 @@
 #include "snipeturn/entry/rollout_state.h"
 #include "snipeturn/entry/service_times.h"
 #include "snipeturn/entry/upstream.h"
+#include "snipeturn/quarantine/answer_memory.h"
+#include "snipeturn/quarantine/lost_prompts.h"
 #include "snipeturn/quarantine/suspects.h"
 
 namespace snipeturn::entry {
@@ -103,6 +105,34 @@
   Endpoint endpoint;
 };
 
+/// How hosts find the parts that crashes have in common. One host collects summaries of the parts
+/// that each host lost.
+struct PartCollection {
+  /// The host that collected last; this host's own name if it does.
+  std::string collector;
+  /// Crashes of which summaries have been requested, by any host.
+  std::set<quarantine::CrashId> requested;
+  /// When this host requests summaries, unless another host does so before.
+  std::optional<TimePoint> due;
+  /// Summaries of the other hosts; kept by the collector for comparison with later crashes.
+  std::map<quarantine::CrashId, std::map<std::string, std::vector<quarantine::Sketch>>> sketches;
+  /// When the collector compares the summaries that have arrived.
+  std::optional<TimePoint> compare_at;
+  /// When the collector requests the missing summaries again, and how often it has done so.
+  std::optional<TimePoint> repeat_at;
+  int repeats{0};
+  /// Common numbers whose parts this host tells when the answers to them are known.
+  struct Disclosure {
+    TimePoint answers_due{};
+    bool has_reported_answers{false};
+    TimePoint due{};
+    CommonBuckets common;
+  };
+  std::vector<Disclosure> disclosures;
+  /// Parts whose answers a host has reported for them.
+  quarantine::PartSet answered;
+};
+
 /// Prompt parts that crash upstreams, and what this host and its peers saw of them.
 struct QuarantineState {
   quarantine::CrashLog log;
@@ -112,6 +142,8 @@
     quarantine::EntryId entry{0};
     UpstreamId upstream;
     TimePoint at{};
+    /// Other hosts are not told all parts of the prompt at once.
+    bool is_hidden{false};
   };
   std::deque<Unconfirmed> unconfirmed;
   /// Reports that are sent once more.
@@ -140,6 +172,12 @@
   /// Answers that began at this host, weighted by age.
   OutcomeCount answers;
   std::uint64_t sync_round{0};
+  /// Lost attempts of this host whose parts the other hosts don't know.
+  quarantine::LostPrompts lost;
+  quarantine::AnswerMemory answer_memory;
+  PartCollection collection;
+  /// What of `log.dropped` has been logged.
+  std::uint64_t logged_drops{0};
 };
 
 /// What this host learns of the speeds of upstreams, besides the estimate of each.
--- a/src/snipeturn/loop/entry_runtime.cc
+++ b/src/snipeturn/loop/entry_runtime.cc
@@ -42,6 +42,9 @@
 /// Part (1/n) of it that the bodies of the requests at one upstream may take: half of that of all
 /// requests, so that a slow upstream leaves memory for the others.
 constexpr std::size_t kUpstreamMemoryDivisor = 5;
+/// Share of the memory for what tells which prompt parts crash upstreams: 2 MB of 64 hold all parts
+/// of a hundred lost prompts of the longest heads.
+constexpr std::size_t kCrashEvidenceMemoryDivisor = 32;
 
 /// Header fields of the response to a request that got no memory: others end meanwhile.
 constexpr std::string_view kMemoryRetryFields = "Retry-After: 1\r\n";
@@ -83,6 +86,7 @@
       descriptors_{internal::DescriptorLimit(options_.max_descriptors)} {
   state_.options = options_.entry;
   state_.options.max_upstream_bytes = options_.memory / internal::kUpstreamMemoryDivisor;
+  state_.options.max_crash_evidence_bytes = options_.memory / internal::kCrashEvidenceMemoryDivisor;
 }
 
 EntryRuntime::~EntryRuntime() = default;
--- a/src/snipeturn/quarantine/suspects.cc
+++ b/src/snipeturn/quarantine/suspects.cc
@@ -9,6 +9,8 @@
 #include <tuple>
 #include <utility>
 
+#include "snipeturn/quarantine/part_set.h"
+
 namespace snipeturn::quarantine {
 namespace internal {
 namespace {
@@ -28,9 +30,9 @@
 constexpr std::chrono::hours kMaxTrialDelay{24};
 /// Crashes at least this far apart belong to different rounds of trials.
 constexpr std::chrono::minutes kMinRoundInterval{5};
-/// Most entries that are kept for one suspicion, and most suspicions.
+/// Most entries that are kept for one suspicion: enough to find it again, and the newest, which
+/// give the time of the next trial.
 constexpr std::size_t kMaxKeptEntries = 8;
-constexpr std::size_t kMaxSuspects = 4;
 
 using EntryPointer = const std::pair<const EntryId, CrashEntry>*;
 using EntryPointers = std::vector<EntryPointer>;
@@ -80,13 +82,6 @@
   return std::pow(loss_rate, crashes);
 }
 
-std::vector<PartId> SortedParts(const CrashEntry& entry) {
-  std::vector<PartId> parts = entry.parts;
-  std::sort(parts.begin(), parts.end());
-  parts.erase(std::unique(parts.begin(), parts.end()), parts.end());
-  return parts;
-}
-
 std::chrono::microseconds TrialDelay(const EntryPointers& entries) {
   std::chrono::microseconds delay = kFirstTrialDelay;
   const std::size_t rounds = SeparateTimes(entries, kMinRoundInterval).size();
@@ -96,31 +91,29 @@
   return std::min<std::chrono::microseconds>(delay, kMaxTrialDelay);
 }
 
-/// A part with the entries that count against it, and the parts that share all of them.
+/// Parts with the same entries against them, and all parts that share these entries.
 struct Candidate {
+  /// The least of the parts.
   PartId part{0};
   EntryPointers entries;
   std::vector<PartId> companions;
   int crashes{0};
 };
 
-Candidate MakeCandidate(PartId part,
-                        EntryPointers entries,
-                        const std::map<PartId, EntryPointers>& entries_by_part) {
+Candidate MakeCandidate(const CrashLog& log, PartId part, EntryPointers entries) {
   Candidate candidate;
   candidate.part = part;
-  candidate.companions = SortedParts(entries.front()->second);
+  candidate.companions = entries.front()->second.parts;
   for (const EntryPointer entry : entries) {
-    const std::vector<PartId> parts = SortedParts(entry->second);
     std::vector<PartId> common;
-    std::set_intersection(candidate.companions.begin(), candidate.companions.end(), parts.begin(),
-                          parts.end(), std::back_inserter(common));
+    std::set_intersection(candidate.companions.begin(), candidate.companions.end(),
+                          entry->second.parts.begin(), entry->second.parts.end(),
+                          std::back_inserter(common));
     candidate.companions = std::move(common);
   }
   // A part that got an answer since the first of the crashes is sound.
   const auto is_cleared = [&](PartId companion) {
-    const EntryPointers& against = entries_by_part.at(companion);
-    return std::find(against.begin(), against.end(), entries.front()) == against.end();
+    return !CountsAgainst(log, entries.front()->second, companion);
   };
   candidate.companions.erase(
       std::remove_if(candidate.companions.begin(), candidate.companions.end(), is_cleared),
@@ -130,6 +123,44 @@
   return candidate;
 }
 
+/// Groups the parts by the entries that count against them. Parts of one group have the same
+/// companions and crashes, so that prompts with many parts cost little more than those with few.
+std::vector<Candidate> MakeCandidates(const CrashLog& log, const EntryPointers& entries) {
+  std::vector<std::pair<PartId, std::uint32_t>> against;
+  for (std::size_t index = 0; index < entries.size(); ++index) {
+    for (const PartId part : entries[index]->second.parts) {
+      if (CountsAgainst(log, entries[index]->second, part)) {
+        against.emplace_back(part, static_cast<std::uint32_t>(index));
+      }
+    }
+  }
+  std::sort(against.begin(), against.end());
+  std::map<std::vector<std::uint32_t>, PartId> groups;
+  for (auto begin = against.begin(); begin != against.end();) {
+    const auto end = std::find_if(begin, against.end(), [part = begin->first](const auto& item) {
+      return item.first != part;
+    });
+    if (end - begin >= kMinCrashes) {
+      std::vector<std::uint32_t> group;
+      std::transform(begin, end, std::back_inserter(group),
+                     [](const auto& item) { return item.second; });
+      groups.emplace(std::move(group), begin->first);
+    }
+    begin = end;
+  }
+  std::vector<Candidate> candidates;
+  for (const auto& [group, part] : groups) {
+    EntryPointers own;
+    for (const std::uint32_t index : group) {
+      own.push_back(entries[index]);
+    }
+    if (CountCrashes(own) >= kMinCrashes) {
+      candidates.push_back(MakeCandidate(log, part, std::move(own)));
+    }
+  }
+  return candidates;
+}
+
 Suspect MakeSuspect(const Candidate& candidate) {
   Suspect suspect;
   suspect.parts = candidate.companions;
@@ -147,7 +178,7 @@
 EntryPointers EntriesByTime(const CrashLog& log, TimePoint now) {
   EntryPointers entries;
   for (const auto& entry : log.entries) {
-    if (now - entry.second.at >= kHoldTime) {
+    if (now - entry.second.at >= kHoldTime && now - entry.second.known_at >= kDisclosureHoldTime) {
       entries.push_back(&entry);
     }
   }
@@ -170,21 +201,7 @@
 std::vector<Suspect> FindSuspects(const CrashLog& log, TimePoint now) {
   using namespace internal;
   const EntryPointers all = EntriesByTime(log, now);
-  std::map<PartId, EntryPointers> entries_by_part;
-  for (const EntryPointer entry : all) {
-    for (const PartId part : SortedParts(entry->second)) {
-      EntryPointers& against = entries_by_part[part];
-      if (CountsAgainst(log, entry->second, part)) {
-        against.push_back(entry);
-      }
-    }
-  }
-  std::vector<Candidate> candidates;
-  for (const auto& [part, entries] : entries_by_part) {
-    if (CountCrashes(entries) >= kMinCrashes) {
-      candidates.push_back(MakeCandidate(part, entries, entries_by_part));
-    }
-  }
+  std::vector<Candidate> candidates = MakeCandidates(log, all);
   // The narrowest explanation first: it costs sound requests least if it is wrong.
   std::sort(candidates.begin(), candidates.end(),
             [](const Candidate& left, const Candidate& right) {
@@ -212,7 +229,7 @@
     }
     if (is_narrower) {
       *narrower = MakeSuspect(candidate);
-    } else if (suspects.size() < kMaxSuspects) {
+    } else {
       suspects.push_back(MakeSuspect(candidate));
     }
   }
@@ -220,10 +237,18 @@
 }
 
 bool Matches(const Suspect& suspect, const std::vector<PartId>& parts) {
-  return !suspect.parts.empty() &&
-         std::all_of(suspect.parts.begin(), suspect.parts.end(), [&parts](PartId part) {
-           return std::find(parts.begin(), parts.end(), part) != parts.end();
-         });
+  // Most suspects have one part; to sort the prompt's parts pays off for many.
+  constexpr std::size_t kMaxLinear = 8;
+  if (suspect.parts.empty() || suspect.parts.size() > parts.size()) {
+    return false;
+  }
+  if (suspect.parts.size() <= kMaxLinear) {
+    return std::all_of(suspect.parts.begin(), suspect.parts.end(), [&parts](PartId part) {
+      return std::find(parts.begin(), parts.end(), part) != parts.end();
+    });
+  }
+  const PartSet sorted = MakePartSet(parts);
+  return std::includes(sorted.begin(), sorted.end(), suspect.parts.begin(), suspect.parts.end());
 }
 
 }  // namespace snipeturn::quarantine
--- a/src/snipeturn/quarantine/suspects.h
+++ b/src/snipeturn/quarantine/suspects.h
@@ -39,6 +39,9 @@
 
 /// Age from which an entry counts: the time for hosts to confirm a crash and to exchange answers.
 inline constexpr std::chrono::milliseconds kHoldTime{350};
+/// Time from which parts count that a host learned after their entry: the hosts that know answers
+/// to prompts with them report these first.
+inline constexpr std::chrono::milliseconds kDisclosureHoldTime{250};
 /// Entries are removed at this age unless a suspicion rests on them.
 inline constexpr std::chrono::minutes kEntryTtl{5};
 
--- a/test/platform/entry_wire_codec_test.cc
+++ b/test/platform/entry_wire_codec_test.cc
@@ -76,11 +76,33 @@
   CHECK(parts_of(" 5c1e07a2 , 91bd3f06:1") == std::vector{parts[0], parts[1]});
   CHECK(parts_of(",,:5").empty());
   CHECK(parts_of("").empty());
-  std::string many;
-  for (int number = 0; number < 5000; ++number) {
-    many += std::to_string(number) + ":1,";
+}
+
+// Guards against a harmful part that is never found as it stands behind others, or in the second of
+// two fields.
+TEST_CASE_METHOD(WireCodecFixture, "promptParts_longList_allDecoded", "[platform]") {
+  constexpr std::size_t kParts = 5000;
+  std::string text;
+  for (std::size_t number = 0; number < kParts; ++number) {
+    text += std::to_string(number) + ":1,";
+  }
+  head.fields.erase(std::remove_if(head.fields.begin(), head.fields.end(),
+                                   [](const auto& field) { return field.name == "Prompt-Prefix"; }),
+                    head.fields.end());
+  SECTION("one field") {
+    head.fields.push_back({"Prompt-Prefix", text});
+  }
+  SECTION("two fields") {
+    const std::size_t half = text.find(',', text.size() / 2) + 1;
+    head.fields.push_back({"Prompt-Prefix", text.substr(0, half - 1)});
+    head.fields.push_back({"prompt-prefix", "\t" + text.substr(half)});
   }
-  CHECK(parts_of(many).size() <= 32);
+  const auto parts = codec.decode_request(head).head->prompt_parts;
+  CHECK(parts.size() == kParts);
+  CHECK(parts.front() == quarantine::HashPart("0"));
+  CHECK(parts.back() == quarantine::HashPart(std::to_string(kParts - 1)));
+  // The head bounds the memory: no part takes more than the shortest entry and its number.
+  CHECK(parts.size() * sizeof(parts[0]) <= 2 * text.size());
 }
 
 // Guards against request smuggling: two parsers may interpret such requests differently.
--- a/test/snipeturn/entry/crash_reports_test.cc
+++ b/test/snipeturn/entry/crash_reports_test.cc
@@ -9,6 +9,10 @@
 /// All requests share the first part.
 class CrashFixture {
  public:
+  static quarantine::PartId Topic(std::uint64_t number) {
+    return 100 + static_cast<quarantine::PartId>(number % 20);
+  }
+
   static void Load(CrashWorld& world, int hosts, std::uint64_t& step, bool with_deadly) {
     ++step;
     if (step % 10 != 0) {
@@ -17,9 +21,9 @@
     const std::uint64_t number = step / 10;
     const int host = static_cast<int>(number % static_cast<std::uint64_t>(hosts));
     if (with_deadly && number % 7 == 0) {
-      world.Request(host, {CrashWorld::kSharedPart, 100 + number % 20, CrashWorld::kDeadlyPart});
+      world.Request(host, {CrashWorld::kSharedPart, Topic(number), CrashWorld::kDeadlyPart});
     } else {
-      world.Request(host, {CrashWorld::kSharedPart, 100 + number % 20});
+      world.Request(host, {CrashWorld::kSharedPart, Topic(number)});
     }
   }
 };
@@ -47,7 +51,7 @@
       world.Request(0, {CrashWorld::kSharedPart, CrashWorld::kDeadlyPart});
     }
     if (step % 18 == 0) {
-      world.Request(1, {CrashWorld::kSharedPart, 100 + step % 20});
+      world.Request(1, {CrashWorld::kSharedPart, Topic(step)});
     }
   };
   world.Run(5s, [&] { load(false); });
--- a/test/snipeturn/entry/crash_world.h
+++ b/test/snipeturn/entry/crash_world.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "snipeturn/entry/entry_fixture.h"
+#include "snipeturn/loop/peer_socket.h"
 
 namespace snipeturn::entry {
 
@@ -20,11 +21,10 @@
   static constexpr quarantine::PartId kDeadlyPart = 0xdead;
   static constexpr quarantine::PartId kSharedPart = 0xa;
   static constexpr std::chrono::milliseconds kStep{10};
-  static constexpr std::chrono::milliseconds kPrefillTime{150};
-  static constexpr std::chrono::milliseconds kAnswerTime{2000};
   static constexpr std::chrono::milliseconds kRestartTime{3000};
 
-  explicit CrashWorld(int host_count, int engine_count = 12) : engine_count_(engine_count) {
+  explicit CrashWorld(int host_count, int engine_count = 12, int slots = 24)
+      : engine_count_(engine_count), slots_(slots) {
     for (int number = 0; number < host_count; ++number) {
       hosts_.emplace_back();
       StartHost(number);
@@ -38,6 +38,12 @@
   void StartHost(int number) {
     EntryFixture fixture;
     fixture.state.options.host = "host-" + std::to_string(number);
+    // A share of 110 MB.
+    fixture.state.options.max_crash_evidence_bytes = 110U * 1024 * 1024 / 32;
+    EngineLimits& limits = *fixture.state.desired->services.at("engines").engine;
+    limits.memory_tokens *=
+        static_cast<std::uint64_t>(slots_) / static_cast<std::uint64_t>(limits.slots);
+    limits.slots = slots_;
     fixture.requests = (++incarnations_) * 1000000ULL;
     fixture.state.next_attempt = fixture.requests;
     fixture.state.hosts = static_cast<int>(hosts_.size());
@@ -54,7 +60,9 @@
 
   /// Sends a request to a host. The last part is the request's own.
   void Request(int host, std::vector<quarantine::PartId> parts) {
-    parts.push_back(++next_own_part_);
+    // Ids are hashes, so that neighbours have nothing in common.
+    next_own_part_ += 0x9E3779B1U;
+    parts.push_back(next_own_part_);
     Repeat(host, std::move(parts));
   }
 
@@ -68,7 +76,7 @@
     arrived.head.path = "/long/a";
     arrived.head.key = "key-1";
     arrived.head.time_limit = 30s;
-    arrived.head.prompt_tokens = 500;
+    arrived.head.prompt_tokens = prompt_tokens;
     arrived.head.max_output_tokens = 400;
     arrived.head.prompt_parts = std::move(parts);
     asked_ += IsDeadly(arrived.head.prompt_parts) ? 0 : 1;
@@ -173,6 +181,18 @@
   std::optional<CrashReport> saved_report;
   /// Whether requests with the deadly part crash engines.
   bool is_deadly{true};
+  /// Time from a send to the first token, or to the crash.
+  std::chrono::milliseconds prefill_time{150};
+  std::chrono::milliseconds answer_time{2000};
+  std::uint64_t prompt_tokens{500};
+  /// Bytes of the messages between hosts about crashes, counted at the receivers.
+  std::size_t message_bytes{0};
+  /// Bytes of the fields of log lines.
+  std::size_t log_bytes{0};
+  /// Messages with which these hosts collect parts are lost.
+  std::set<int> silent_collectors;
+  /// Hosts that have requested summaries.
+  std::set<int> collectors;
 
  private:
   struct Attempt {
@@ -189,7 +209,7 @@
     entry.service = "engines";
     entry.zone = "zone-a";
     entry.endpoint = {"10.0.0.1", last_engine_};
-    entry.slots = 24;
+    entry.slots = slots_;
     entry.start_time_ms = last_engine_;
     entry.sequence = last_engine_;
     engines_[entry.id] = entry;
@@ -209,7 +229,7 @@
         continue;
       }
       const auto& parts = parts_.at({attempt.host, attempt.request});
-      if (!attempt.has_begun && now - attempt.sent_at >= kPrefillTime) {
+      if (!attempt.has_begun && now - attempt.sent_at >= prefill_time) {
         if (is_deadly && IsDeadly(parts)) {
           Crash(attempt.upstream);
           continue;
@@ -217,7 +237,7 @@
         attempts_.at(key).has_begun = true;
         begun_ += IsDeadly(parts) ? 0 : 1;
         Apply(attempt.host, StreamProgressed{key, 1});
-      } else if (now - attempt.sent_at >= kAnswerTime) {
+      } else if (now - attempt.sent_at >= prefill_time + answer_time) {
         AttemptEnded ended;
         ended.attempt = key;
         ended.result = AttemptResult::kStreamFinished;
@@ -261,10 +281,23 @@
   }
 
   void Exchange(int from, const Effect& effect) {
-    if (const auto* sent = std::get_if<SendCrashReport>(&effect)) {
+    if (const auto* line = std::get_if<EmitLog>(&effect)) {
+      log_bytes += line->fields.size();
+    } else if (const auto* sent = std::get_if<SendCrashReport>(&effect)) {
+      const std::string text = loop::EncodeCrashMessage(state(from).options.host, sent->report);
+      // Longer ones are cut off by the receivers.
+      REQUIRE(text.size() <= loop::kMaxDatagramBytes);
+      if (sent->report.sketch_request) {
+        collectors.insert(from);
+      }
+      if ((sent->report.sketch_request || sent->report.common) &&
+          silent_collectors.count(from) > 0) {
+        return;
+      }
       for (int host = 0; host < static_cast<int>(hosts_.size()); ++host) {
         const bool is_meant = sent->host.empty() || sent->host == state(host).options.host;
         if (is_meant && host != from && isolated.count(host) == 0 && isolated.count(from) == 0) {
+          message_bytes += text.size();
           Apply(host, CrashReportReceived{state(from).options.host, sent->report});
         }
       }
@@ -274,6 +307,7 @@
   }
 
   int engine_count_{0};
+  int slots_{0};
   std::vector<EntryFixture> hosts_;
   std::map<UpstreamId, UpstreamEntry> engines_;
   std::map<AttemptKey, Attempt> attempts_;
@@ -282,7 +316,7 @@
   std::vector<TimePoint> restarts_;
   std::vector<TimePoint> deadly_sends_;
   std::vector<Refuse> refused_;
-  std::uint64_t next_own_part_{1000000};
+  quarantine::PartId next_own_part_{1000000};
   std::uint64_t offset_{1000};
   std::uint64_t incarnations_{0};
   int last_engine_{0};
--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -363,7 +363,7 @@
 TEST_CASE("crashReport_roundTrip_preserved", "[loop]") {
   using namespace std::chrono_literals;
   entry::CrashReport report;
-  report.crashes = {{0xFFFFFFFFFFFFFFFFULL, 2, {3, 0xFEDCBA9876543210ULL}, 12.5, 340ms}};
+  report.crashes = {{0xFFFFFFFFFFFFFFFFULL, 2, {3, 0xFEDCBA98U}, 12.5, 340ms}};
   report.answers = {{3, 20ms}};
   report.digest = 77;
   report.is_reply = true;
--- a/test/snipeturn/quarantine/suspects_test.cc
+++ b/test/snipeturn/quarantine/suspects_test.cc
@@ -215,5 +215,57 @@
   CHECK(log.answers.empty());
 }
 
+// Guards against a fifth deadly part that is never held back.
+TEST_CASE_METHOD(SuspectsFixture, "parts_manyDeadly_allSuspected", "[quarantine]") {
+  constexpr PartId kParts = 6;
+  log.max_entries = 1000;
+  for (int crash = 0; crash < 3; ++crash) {
+    for (PartId part = 1; part <= kParts; ++part) {
+      Lose({part * 1000000});
+      now += 1s;
+    }
+  }
+  CHECK(Find().size() == kParts);
+}
+
+// Guards against a deadly part that is never found as each crash takes more prompts than the log
+// has room for.
+TEST_CASE_METHOD(SuspectsFixture, "log_manyPromptsPerCrash_suspiciousEntriesStay", "[quarantine]") {
+  for (CrashId crash = 1; crash <= 3; ++crash) {
+    Lose({kDeadly}, crash);
+    for (std::size_t count = 0; count < 2 * kMaxEntries; ++count) {
+      CrashEntry entry;
+      entry.crash = crash;
+      entry.at = now + 1ms;
+      entry.hidden_parts = 3;
+      entry.answers_per_second = answers_per_second;
+      AddEntry(log, ++last_ + 1000000, std::move(entry));
+    }
+    now += 1s;
+  }
+  CHECK(log.entries.size() <= kMaxEntries);
+  CHECK(log.dropped > 0);
+  REQUIRE(Find().size() == 1);
+  CHECK(Find()[0].parts == std::vector<PartId>{kDeadly});
+}
+
+// Guards against a quarantine that differs between hosts as one of them lacks parts of an entry.
+TEST_CASE_METHOD(SuspectsFixture, "entry_furtherParts_mergedAndInDigest", "[quarantine]") {
+  CrashEntry entry;
+  entry.crash = 1;
+  entry.at = now;
+  entry.hidden_parts = 900;
+  CHECK(AddEntry(log, 5, entry));
+  CHECK_FALSE(AddEntry(log, 5, entry));
+  const std::uint64_t digest = Digest(log);
+  entry.parts = {kDeadly};
+  entry.hidden_parts = 899;
+  CHECK(AddEntry(log, 5, entry));
+  CHECK(Digest(log) != digest);
+  entry.parts = {kTopic};
+  CHECK(AddEntry(log, 5, entry));
+  CHECK(log.entries.at(5).parts == std::vector<PartId>{kDeadly, kTopic});
+}
+
 }  // namespace
 }  // namespace snipeturn::quarantine
