Dispatch: the end of a waiting request doesn't try all others

Cause: each end of a request tried all waiting requests, each try goes through all open requests and upstreams. Ruled out: memory and descriptors, which weren't exhausted.

Change: a request that was never sent frees no room at its end. In one pass over the queue, a request of a plain service isn't tried when one before it with no larger body found no room.

--- a/src/snipeturn/entry/dispatch.cc
+++ b/src/snipeturn/entry/dispatch.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
+#include <string>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -179,9 +181,25 @@
   }
 }
 
+/// A request that found no room.
+struct NoRoom {
+  std::uint64_t body_bytes{0};
+  Placement placement;
+};
+
+/// Tells whether a request finds no room because another one of its service didn't.
+bool FindsNoRoom(const State& state, const NoRoom& other, const Request& request) {
+  const auto service = state.desired->services.find(request.service);
+  // The room at engines depends on the prompt, and that of versions on the request's share.
+  return service != state.desired->services.end() && !service->second.engine &&
+         !state.is_stopping && state.rollouts.count(request.service) == 0 &&
+         request.excluded.empty() && request.head.body_bytes >= other.body_bytes;
+}
+
 /// Sends a queued request if an upstream has room.
 Placement TryDispatch(EventScope& scope, Request& request) {
   const Placement placement = PlaceRequest(scope.state, request, scope.now);
+  scope.state.placements += 1;
   RecordKeptBack(scope, request, placement);
   if (placement.result != PlacementResult::kPlaced) {
     ScheduleDispatch(scope, placement.available_from);
@@ -317,8 +335,20 @@
               return std::tie(left.priority, left.served, left.arrived) <
                      std::tie(right.priority, right.served, right.arrived);
             });
+  // By service. A further request of the same kind finds no room either, as the sends between the
+  // two only take room.
+  std::map<std::string, NoRoom> without_room;
   for (const QueuedRequest& entry : queued) {
-    static_cast<void>(TryDispatch(scope, scope.state.requests.at(entry.key)));
+    Request& request = scope.state.requests.at(entry.key);
+    const auto known = without_room.find(request.service);
+    if (known != without_room.end() && FindsNoRoom(scope.state, known->second, request)) {
+      RecordKeptBack(scope, request, known->second.placement);
+      continue;
+    }
+    Placement placement = TryDispatch(scope, request);
+    if (placement.result == PlacementResult::kNoRoom && request.excluded.empty()) {
+      without_room[request.service] = {request.head.body_bytes, std::move(placement)};
+    }
   }
 }
 
--- a/src/snipeturn/entry/lifecycle.cc
+++ b/src/snipeturn/entry/lifecycle.cc
@@ -169,8 +169,11 @@
                                TimerKind::kEntryHedge, TimerKind::kEntryMove}) {
     Cancel(state.timers, {kind, request.key});
   }
+  const bool has_freed_room = request.sends > 0;
   state.requests.erase(request.key);
-  DispatchQueue(scope);
+  if (has_freed_room) {
+    DispatchQueue(scope);
+  }
 }
 
 void HandleCallerDisconnect(EventScope& scope, const CallerDisconnected& event) {
--- a/src/snipeturn/entry/state.h
+++ b/src/snipeturn/entry/state.h
@@ -260,6 +260,8 @@
   /// Incremented when an engine has processed a prompt or has finished work.
   std::uint64_t load_decreases{0};
   AttemptKey next_attempt{1};
+  /// Searches of an upstream for a request, each of which goes through all open requests.
+  std::uint64_t placements{0};
   std::uint64_t next_copy{1};
   bool is_stopping{false};
   TimePoint stopping_since{};
--- a/src/snipeturn/loop/entry_callers.cc
+++ b/src/snipeturn/loop/entry_callers.cc
@@ -372,6 +372,7 @@
   gauges.insert(gauges.end(), learned.begin(), learned.end());
   const std::vector<Gauge> own{
       {"snipeturn_open_requests", "", "", static_cast<double>(state_.requests.size())},
+      {"snipeturn_placements", "", "", static_cast<double>(state_.placements)},
       {"snipeturn_upstreams", "", "", static_cast<double>(state_.upstreams.size())},
       {"snipeturn_opened_connections", "", "", static_cast<double>(client_.opened_connections())},
       {"snipeturn_dropped_log_lines", "", "", static_cast<double>(log_.dropped_lines())},
