Callers: a head counts as memory before its body is complete

Cause: a head stands in the parser until its body is complete, and counted only then; a field of five bytes takes 64 there. Ruled out: unparsed bytes and bodies, which were counted.

Change: the head is reserved with its body. Without room, a large head is refused with 503 (not run), which frees it; a small one waits as before.

--- a/src/snipeturn/loop/caller_connection.cc
+++ b/src/snipeturn/loop/caller_connection.cc
@@ -22,8 +22,10 @@
 constexpr int kMaxRequestsPerTurn = 16;
 /// Capacity from which an empty input buffer is given back: idle connections keep none.
 constexpr std::size_t kMaxIdleCapacity = 4096;
-/// Bodies up to this size don't wait for memory.
+/// Requests up to this size, with their heads, don't wait for memory.
 constexpr std::size_t kSmallBodyBytes = 65536;
+/// Heads up to this size may wait for the memory of their bodies: those of ordinary callers.
+constexpr std::size_t kMaxWaitingHeadBytes = 8192;
 /// Copies of a request: the one that is kept, and the one that is being sent.
 constexpr std::size_t kRequestCopies = 2;
 /// Header fields of the response to a request that got no memory: others end meanwhile.
@@ -165,6 +167,11 @@
         return false;
       }
       if (parser_->is_head_done() && !ReserveBody()) {
+        if (MemoryOf(parser_->head()) > internal::kMaxWaitingHeadBytes) {
+          // A wait would keep the head, which takes memory that no account has.
+          RejectRequest(503, "no_memory", internal::kMemoryRetryFields);
+          return false;
+        }
         awaits_memory_ = true;
         phase_started_at_ = BootTime();
         return false;
@@ -210,7 +217,8 @@
 
 bool CallerConnection::ReserveBody() {
   const HttpHead& head = parser_->head();
-  const std::uint64_t known = head.is_chunked ? parser_->body_bytes() : head.body_length;
+  const std::uint64_t known =
+      MemoryOf(head) + (head.is_chunked ? parser_->body_bytes() : head.body_length);
   // The next read adds to a body of unknown length.
   const std::uint64_t bytes = known + (head.is_chunked ? internal::kSmallBodyBytes : 0);
   const auto needed = static_cast<std::size_t>(internal::kRequestCopies * bytes);
--- a/test/snipeturn/loop/memory_test.cc
+++ b/test/snipeturn/loop/memory_test.cc
@@ -232,5 +232,32 @@
   CHECK(requests[0].response.empty());
 }
 
+// Guards against memory that no account counts: heads with many short fields whose bodies never
+// come.
+TEST_CASE_METHOD(MemoryFixture, "heads_withoutBodies_countedAndRefused", "[loop]") {
+  constexpr int kCallers = 16;
+  for (int number = 0; number < kCallers; ++number) {
+    std::string text = "POST /book/a HTTP/1.1\r\nHost: svc.example\r\nRequest-Id: h" +
+                       std::to_string(number) + "\r\nDeadline-Ms: 9000\r\nContent-Length: 5\r\n";
+    while (text.size() < 16000) {
+      text += "a:b\r\n";
+    }
+    callers.emplace_back(context);
+    callers.back().connect({boost::asio::ip::address_v4::loopback(), front});
+    Write(callers.back(), text + "\r\n");
+    RunFor(5ms);
+  }
+  CHECK(RunUntil([this] { return UsedMemory("request") > 0; }));
+  // Requests may take two fifths of the process's memory, and a quarter more while they are small.
+  CHECK(UsedMemory("request") <= 2.5 * static_cast<double>(kLimit));
+  const std::string refusals = ReadMetrics();
+  const std::size_t found = refusals.find("snipeturn_refusals_total{reason=\"no_memory\"}");
+  REQUIRE(found != std::string::npos);
+  // An ordinary request is served beside them.
+  Send("ordinary");
+  callers.clear();
+  CHECK(RunUntil([this] { return UsedMemory("request") < static_cast<double>(kLimit) / 4; }));
+}
+
 }  // namespace
 }  // namespace snipeturn::loop
