--- a/test/snipeturn/loop/messages_test.cc
+++ b/test/snipeturn/loop/messages_test.cc
@@ -384,6 +384,71 @@
   CHECK(received->report.is_reply);
 }
 
+// Guards against parts that are found at one host only as a message of their collection was
+// changed.
+TEST_CASE("crashReport_collectionRoundTrip_preserved", "[loop]") {
+  using namespace std::chrono_literals;
+  quarantine::PartSet parts;
+  for (quarantine::PartId part = 1; part <= 900; ++part) {
+    parts.push_back(part * 4000000U);
+  }
+  entry::CrashReport report;
+  report.crashes = {
+      {1, 2, parts, 12.5, 340ms}, {2, 3, parts, 12.5, 340ms}, {3, 4, {}, 1, 5ms, 900}};
+  report.crashes.push_back({4, 5, {}, 1, 5ms, 0, quarantine::EntryId{1}});
+  report.sketch_request = entry::SketchRequest{{7, 8}, 21};
+  report.sketches = {{7, 15, quarantine::EncodePartSet({1, 5, 70}, 21)}};
+  report.common = entry::CommonBuckets{{3, 9}, 21, true};
+  report.answered = entry::AnsweredParts{parts, 80ms};
+  const std::string text = EncodeCrashMessage("host-1", report);
+  // The second list of parts refers to the first.
+  CHECK(text.size() < 2 * 900 * 6);
+  const auto message = DecodePeerMessage(text);
+  REQUIRE(message);
+  const auto* received = std::get_if<entry::CrashReportReceived>(&message->content);
+  REQUIRE(received != nullptr);
+  REQUIRE(received->report.crashes.size() == 4);
+  CHECK(received->report.crashes[0].parts == parts);
+  CHECK(received->report.crashes[1].parts == parts);
+  CHECK(received->report.crashes[2].hidden_parts == 900);
+  CHECK(received->report.crashes[3].same_parts_as == quarantine::EntryId{1});
+  REQUIRE(received->report.sketch_request);
+  CHECK(received->report.sketch_request->crashes == report.sketch_request->crashes);
+  CHECK(received->report.sketch_request->bits == 21);
+  REQUIRE(received->report.sketches.size() == 1);
+  CHECK(received->report.sketches[0].prompts == 15);
+  CHECK(received->report.sketches[0].buckets == report.sketches[0].buckets);
+  REQUIRE(received->report.common);
+  CHECK(received->report.common->buckets == quarantine::PartSet{3, 9});
+  CHECK(received->report.common->asks_for_answers);
+  REQUIRE(received->report.answered);
+  CHECK(received->report.answered->parts == parts);
+  CHECK(received->report.answered->age == 80ms);
+}
+
+// Guards against a quarantine that ends at the roll-out of the release with shorter hashes.
+TEST_CASE("crashReport_partOf64Bits_firstBitsUsed", "[loop]") {
+  const auto message = DecodePeerMessage(
+      R"({"host":"h","crash_report":{"crashes":[[1,2,5,1.0,[18364758544493064720]]]}})");
+  REQUIRE(message);
+  const auto& report = std::get<entry::CrashReportReceived>(message->content).report;
+  CHECK(report.crashes.at(0).parts == std::vector<quarantine::PartId>{0xFEDCBA98U});
+}
+
+// Guards against a damaged message of a collection that ends the process or hides parts.
+TEST_CASE("crashReport_malformedCollection_rejected", "[loop]") {
+  for (const char* report :
+       {R"({"crashes":[[1,2,5,1.0,"AA"]]})", R"({"crashes":[[1,2,5,1.0,true]]})",
+        R"({"crashes":[[1,2,5,1.0,{}]]})", R"({"crashes":[[1,2,5,1.0,[],0]]})",
+        R"({"crashes":[[1,2,5,1.0,[],-1]]})", R"({"collect":[1],"bits":0})",
+        R"({"collect":[1],"bits":33})", R"({"collect":["x"],"bits":20})", R"({"sketches":[[1,2]]})",
+        R"({"sketches":[[1,2,""]]})", R"({"sketches":[[1,2,"%%%%"]]})", R"({"common":""})",
+        R"({"common":7})", R"({"answered":"AAAA","answered_age_ms":1})"}) {
+    CAPTURE(report);
+    CHECK_FALSE(DecodePeerMessage(std::string(R"({"host":"h","crash_report":)") + report + "}"));
+  }
+}
+
 // Guards against a report that quarantines prompts from a damaged datagram.
 TEST_CASE("crashReport_malformed_rejected", "[loop]") {
   for (const char* text :
