Revert "Membership: hosts tell one another that an upstream has turned cold again"

A failed try. Not traced: whether many hosts that each send a small share of a low cold rate leave the upstream unused, or many entries differ by more than 0.5 s.

--- a/src/snipeturn/entry/store_updates.cc
+++ b/src/snipeturn/entry/store_updates.cc
@@ -30,9 +30,6 @@
 /// A leaving upstream without work of this host is removed after this time.
 constexpr std::chrono::milliseconds kRemoveAfter{5000};
 constexpr std::chrono::milliseconds kReviewInterval{250};
-/// An upstream that stays cold for this much longer than known has turned cold again. Entries that
-/// the store delays differ by less.
-constexpr std::chrono::milliseconds kMinColdExtension{500};
 /// Updates are repeated for this long, at least with the next two load tables. Their number is
 /// limited as each takes about 110 bytes of a datagram. A host that misses one reads the whole
 /// list, so there is room for the case that a sixth of several hundred upstreams leaves at once and
@@ -332,10 +329,7 @@
   if (!(upstream.entry.endpoint == entry.endpoint)) {
     scope.effects.push_back(ForgetUpstream{entry.id});
   }
-  const bool turns_cold = entry.cold_left.count() > 0 &&
-                          scope.now + entry.cold_left > upstream.cold_until + kMinColdExtension;
-  const bool is_update = is_new_incarnation || turns_cold ||
-                         upstream.entry.leaving != entry.leaving ||
+  const bool is_update = is_new_incarnation || upstream.entry.leaving != entry.leaving ||
                          upstream.phase == UpstreamPhase::kMissing;
   // Each host reads the copy itself, and knows which of its records are older.
   if (is_update && event.source == UpdateSource::kStore &&
